serve: log and count forwarded requests that are cancelled

The node of a caller logs reason=gone, the node of the target said nothing. So a cancellation that comes late could not be told from a request that was sent after its caller had left. The target's node now logs 'request cancelled' (2904) and counts it by whether the target had the request, with the time spent on it.

--- a/serve/event.go
+++ b/serve/event.go
@@ -18,6 +18,10 @@
 	"Some nodes could not be told in time which requests were in flight on a target that crashed.",
 	"None, unless a request crashes more than two targets.")
 
+var eventRequestCancelled = event.Define(2904, "request cancelled", slog.LevelInfo,
+	"The node of a caller that left cancelled a request that it had forwarded. The at_target field tells whether the target worked on it.",
+	"Search the logs of all nodes for the request id: the line of the caller's node tells when the caller left.")
+
 var eventRequestFailed = event.Define(2900, "request failed", slog.LevelInfo,
 	"A request of a caller was refused, failed or ended without a response. The reason field names the cause.",
 	"Search the logs of all nodes for the request id.")
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -139,6 +140,7 @@
 		res = notRun(ReasonStopping, stoppingRetryAfter)
 	} else {
 		res = r.runLocal(ctx, j)
+		r.recordCancelled(ctx, j, now, res)
 	}
 	out := forwardedResult{
 		Reason: res.Reason, Status: res.Response.Status, Header: res.Response.Header, Body: res.Response.Body,
@@ -152,6 +154,24 @@
 	return cbor.Marshal(out)
 }
 
+// cancelledClass is the class of cancelled requests in metrics.
+const cancelledClass = "cancelled"
+
+// recordCancelled counts and logs a forwarded request that was cancelled, with
+// the time that this node and its target spent on it.
+func (r *Router) recordCancelled(ctx context.Context, j *job, begin time.Duration, res Result) {
+	if res.Reason != ReasonCallerGone || r.aborted.Err() != nil {
+		return
+	}
+	took, phase := r.cfg.Clock.Elapsed()-begin, "waiting"
+	if res.Sends > 0 {
+		phase = "running"
+	}
+	r.stats.Observe(cancelledClass, "", phase, took)
+	eventRequestCancelled.Log(ctx, r.cfg.Log, slog.String("id", j.request.ID), slog.String("service", j.service),
+		slog.Bool("at_target", res.Sends > 0), slog.Int64("took_ms", took.Milliseconds()))
+}
+
 // Abort ends all requests in flight at once: those that wait are refused, the
 // others have an unknown outcome.
 func (r *Router) Abort() { r.abort() }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -435,3 +435,35 @@
 		close(release)
 	})
 }
+
+// Guards against forwarded requests whose cancellation leaves no trace on the
+// node of the target.
+func TestCancelledRequestsAreCounted(t *testing.T) {
+	runInSite(t, func(t *testing.T, s *site) {
+		s.targets["a1"].reply = func(ctx context.Context, _ *serve.Request) (serve.Response, error) {
+			<-ctx.Done()
+			return serve.Response{}, ctx.Err()
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan serve.Result, 3) // two run, one waits
+		for i := range 3 {
+			go func() { done <- s.routers["b1"].Serve(ctx, newRequest(fmt.Sprint(i), "look")) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		cancel()
+		for range 3 {
+			<-done
+		}
+		synctest.Wait()
+		for _, c := range s.routers["a1"].Metrics().Snapshot().Classes {
+			if c.Name != "cancelled" {
+				continue
+			}
+			if c.Outcomes["running"] != 2 || c.Outcomes["waiting"] != 1 {
+				t.Errorf("cancelled requests are counted as %v, want 2 running and 1 waiting", c.Outcomes)
+			}
+			return
+		}
+		t.Error("cancelled requests are not counted")
+	})
+}
