agent, serve: don't run requests whose callers left before they were read

Callers saw nothing; targets got requests that nobody waited for. A caller gives up on an unread request after a second. A node that is short of processor time reads it from the socket all the same, and net/http learns of the close only by a read that it starts together with the handler. The request was on its way to the target by then, and ended when the read came back.

The connection is now asked, with poll and POLLRDHUP, before each send: by the caller's node for each attempt, and once more when a slot is free. A request whose caller has left is not run. New package hangup.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"burdocklift/clock"
 	"burdocklift/conf"
 	"burdocklift/fleet"
+	"burdocklift/hangup"
 	"burdocklift/kernel"
 	"burdocklift/peer"
 	"burdocklift/platform"
@@ -212,6 +213,7 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	r.Left = func() bool { return hangup.Closed(req.Context()) }
 	if err := platform.WriteResult(w, r.ID, a.router.Serve(req.Context(), r)); err != nil {
 		eventAnswerNotDelivered.Log(req.Context(), a.log, slog.String("id", r.ID), slog.String("error", err.Error()))
 	}
--- a/agent/service.go
+++ b/agent/service.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"burdocklift/hangup"
 )
 
 // httpService adapts an HTTP server to kernel.Service.
@@ -19,7 +21,10 @@
 
 func (s *httpService) server() *http.Server {
 	s.once.Do(func() {
-		s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		s.http = &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			ConnContext: hangup.ConnContext,
+		}
 	})
 	return s.http
 }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -146,6 +146,9 @@
 
 // dispatch makes one attempt to run a request on a target.
 func (r *Router) dispatch(ctx context.Context, j *job) Result {
+	if j.request.callerLeft() {
+		return notRun(ReasonCallerGone, 0)
+	}
 	if j.keyed {
 		return r.dispatchKeyed(ctx, j)
 	}
--- a/serve/local.go
+++ b/serve/local.go
@@ -52,7 +52,7 @@
 		return refusal
 	}
 	now := r.cfg.Clock.Elapsed()
-	if ctx.Err() != nil || r.aborted.Err() != nil {
+	if ctx.Err() != nil || r.aborted.Err() != nil || j.request.callerLeft() {
 		r.admission.Release(j.class, 0, false, now)
 		return notRun(ReasonCallerGone, 0)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -36,8 +36,13 @@
 	Key       int
 	HasKey    bool
 	Origin    string // service from whose machine the request came
+	// Left reports whether the caller has left, which the context may tell later.
+	// It is nil where the context tells as soon.
+	Left func() bool
 }
 
+func (r *Request) callerLeft() bool { return r.Left != nil && r.Left() }
+
 // Response is the complete response of a target.
 type Response struct {
 	Status int
