peer: read cancellations while the answer to a ping cannot be written

A target could work on for a caller that had left, where the reply path to the caller's node was slow: the reader of the connection wrote the answer to a ping itself, waited for up to 2 s until earlier frames were out, and read no cancellation meanwhile. The answer is now written beside the reader, one for all pings that came until then.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -24,6 +24,7 @@
 	pending      map[uint64]chan []byte        // calls of this side
 	cancels      map[uint64]context.CancelFunc // calls of the other side
 	lastReceived time.Duration                 // time of the last frame
+	pongPending  bool                          // a ping has not been answered yet
 }
 
 func newConn(raw net.Conn, t *Transport) *conn {
@@ -156,10 +157,28 @@
 			cancel()
 		}
 	case framePing:
-		_ = c.send(frame{kind: framePong}) // a failure closes the connection
+		c.answerPing()
 	}
 }
 
+// answerPing answers a ping without keeping readLoop from reading cancellations.
+// Pings that arrive before the answer is written share it.
+func (c *conn) answerPing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pongPending {
+		return
+	}
+	c.pongPending = true
+	c.tomb.Go(func() error {
+		_ = c.send(frame{kind: framePong}) // a failure closes the connection
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.pongPending = false
+		return nil
+	})
+}
+
 func (c *conn) serve(ctx context.Context, f frame) {
 	defer func() {
 		c.mu.Lock()
--- /dev/null
+++ b/peer/conn_test.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocklift/clock"
+	"burdocklift/emul"
+)
+
+const (
+	hangMethod Method = iota + 1
+	echoMethod
+)
+
+// maxCancelTime is how long a call may run on after its caller has left.
+const maxCancelTime = 500 * time.Millisecond
+
+// rawClient is a connection on which a test writes frames itself.
+type rawClient struct{ net.Conn }
+
+func (c rawClient) write(t *testing.T, frames ...frame) {
+	t.Helper()
+	for _, f := range frames {
+		if _, err := c.Write(f.appendTo(nil)); err != nil {
+			t.Errorf("write frame of kind %d: %v", f.kind, err)
+		}
+	}
+}
+
+// runOnNode runs a test with a connection to a node, whose handler of hangMethod
+// delivers the end of its context.
+func runOnNode(t *testing.T, test func(t *testing.T, c rawClient, ended <-chan time.Time)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := emul.NewNet()
+		node := New(clock.NewBubble())
+		ended := make(chan time.Time, 10)
+		node.Handle(hangMethod, func(ctx context.Context, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			ended <- time.Now()
+			return nil, ctx.Err()
+		})
+		node.Handle(echoMethod, func(_ context.Context, body []byte) ([]byte, error) { return body, nil })
+		stopped := make(chan error, 1)
+		go func() { stopped <- node.Run(ctx, network.Listen("node")) }()
+		synctest.Wait()
+		raw, err := network.Dialer("client")(ctx, "node")
+		if err != nil {
+			t.Fatal(err)
+		}
+		test(t, rawClient{raw}, ended)
+		_ = raw.Close() // the node may have closed it
+		cancel()
+		if err := <-stopped; err != nil {
+			t.Errorf("node ended with %v", err)
+		}
+	})
+}
+
+func assertCancelled(t *testing.T, ended <-chan time.Time, since time.Time, limit time.Duration) {
+	t.Helper()
+	select {
+	case at := <-ended:
+		if took := at.Sub(since); took > limit {
+			t.Errorf("call was cancelled after %v, want %v at most", took, limit)
+		}
+	case <-time.After(10 * limit):
+		t.Errorf("call was not cancelled within %v", 10*limit)
+	}
+}
+
+// Guards against a cancellation that is not read while the other node is slow to
+// read a reply or an answer to its ping.
+func TestCancelBehindUnreadReplies(t *testing.T) {
+	for name, f := range map[string]frame{
+		"answer to a ping": {kind: framePing},
+		"reply":            {kind: frameCall, method: echoMethod, stream: 2, body: make([]byte, 1<<20)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnNode(t, func(t *testing.T, c rawClient, ended <-chan time.Time) {
+				c.write(t, frame{kind: frameCall, method: hangMethod, stream: 1}, f, f, f)
+				synctest.Wait()
+				left := time.Now()
+				c.write(t, frame{kind: frameCancel, stream: 1})
+				assertCancelled(t, ended, left, maxCancelTime)
+				go func() { _, _ = io.Copy(io.Discard, c) }() // until the end of the test
+			})
+		})
+	}
+}
