peer: cancel the calls of a node that has vanished

Targets worked on, to the end of each request, for the callers of a node that was lost without closing its connections: a host without power, or a path that was cut. Only the side that made the calls watched for silence; the side that served them waited for a close that never came.

An accepted connection that carried nothing in either direction for 1.6 s now has its calls cancelled. A node that waits for replies pings after 0.3 to 0.6 s of silence and closes its side after 1 to 1.3 s, so the replies have no reader by then. Requests that are not idempotent run on, as for any caller that leaves. The connection stays open, as a node that waits for nothing sends no pings. Replies that are still sent count as traffic, so that a target may work on until they stop.

TestNodeOfCallersIsQuiet guards calls of nodes that are silent but there.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -24,6 +24,7 @@
 	pending      map[uint64]chan []byte        // calls of this side
 	cancels      map[uint64]context.CancelFunc // calls of the other side
 	lastReceived time.Duration                 // time of the last frame
+	lastSent     time.Duration                 // time of the last frame to the other side
 	pongPending  bool                          // a ping has not been answered yet
 }
 
@@ -57,6 +58,9 @@
 		c.close(err)
 		return err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastSent = c.transport.clock.Elapsed()
 	return nil
 }
 
@@ -109,6 +113,7 @@
 }
 
 func (c *conn) readLoop() error {
+	defer c.transport.forget(c)
 	defer c.cancelAll()
 	r := bufio.NewReader(c.raw)
 	for {
@@ -124,6 +129,18 @@
 	}
 }
 
+// checkCaller cancels the calls of the other side if it must have vanished: a node
+// that waits for replies sends pings, and gives a silent connection up sooner.
+// The connection stays open, as the other side may also have nothing to wait for.
+func (c *conn) checkCaller() {
+	c.mu.Lock()
+	silent := c.transport.clock.Elapsed() - max(c.lastReceived, c.lastSent)
+	c.mu.Unlock()
+	if silent > callerSilence {
+		c.cancelAll()
+	}
+}
+
 // cancelAll cancels the calls of the other side.
 func (c *conn) cancelAll() {
 	c.mu.Lock()
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -32,6 +33,16 @@
 	}
 }
 
+// read reads frames until the end of the connection.
+func (c rawClient) read() {
+	r := bufio.NewReader(c)
+	for {
+		if _, err := readFrame(r); err != nil {
+			return
+		}
+	}
+}
+
 // runOnNode runs a test with a connection to a node, whose handler of hangMethod
 // delivers the end of its context.
 func runOnNode(t *testing.T, test func(t *testing.T, c rawClient, ended <-chan time.Time)) {
@@ -94,3 +105,39 @@
 		})
 	}
 }
+
+// Guards against work for the callers of a node that vanished without closing its
+// connection.
+func TestNodeOfCallersVanishes(t *testing.T) {
+	runOnNode(t, func(t *testing.T, c rawClient, ended <-chan time.Time) {
+		go c.read()
+		c.write(t, frame{kind: frameCall, method: hangMethod, stream: 1})
+		vanished := time.Now()
+		assertCancelled(t, ended, vanished, 2*time.Second)
+	})
+}
+
+// Guards against calls that are cancelled although the node of their callers
+// still answers or is sent replies.
+func TestNodeOfCallersIsQuiet(t *testing.T) {
+	for name, f := range map[string]frame{
+		"pings": {kind: framePing},
+		"calls": {kind: frameCall, method: echoMethod, stream: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOnNode(t, func(t *testing.T, c rawClient, ended <-chan time.Time) {
+				go c.read()
+				c.write(t, frame{kind: frameCall, method: hangMethod, stream: 1})
+				for range 10 {
+					time.Sleep(2 * pingIdleTime)
+					c.write(t, f)
+				}
+				select {
+				case <-ended:
+					t.Error("call was cancelled")
+				default:
+				}
+			})
+		})
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -38,6 +38,10 @@
 	// closed. A packet that is lost once is retransmitted within 0.3 s.
 	pingIdleTime  = 300 * time.Millisecond
 	closeIdleTime = 1000 * time.Millisecond
+	// callerSilence is how long an accepted connection may carry nothing before
+	// the calls on it are cancelled. The calling node has closed its side by then,
+	// as it checks every pingIdleTime.
+	callerSilence = closeIdleTime + 2*pingIdleTime
 )
 
 // Method identifies the handler of a call.
@@ -56,8 +60,9 @@
 	runCtx    context.Context // ends with Run
 	cancelRun context.CancelFunc
 
-	mu    sync.Mutex
-	links map[string]*link // by address
+	mu       sync.Mutex
+	links    map[string]*link // by address
+	accepted map[*conn]struct{}
 }
 
 // New returns a Transport without handlers.
@@ -65,7 +70,7 @@
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	return &Transport{
 		clock: c, handlers: make(map[Method]Handler), dial: dialTCP, runCtx: runCtx, cancelRun: cancelRun,
-		links: make(map[string]*link),
+		links: make(map[string]*link), accepted: make(map[*conn]struct{}),
 	}
 }
 
@@ -201,7 +206,7 @@
 				acceptErrs <- err
 				return
 			}
-			c := newConn(raw, t)
+			c := t.accept(raw)
 			context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
 		}
 	}()
@@ -223,9 +228,29 @@
 	}
 }
 
-// checkLiveness pings or closes idle connections with pending calls.
+// accept serves the calls on a connection that another node has opened.
+func (t *Transport) accept(raw net.Conn) *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := newConn(raw, t)
+	t.accepted[c] = struct{}{}
+	return c
+}
+
+// forget removes a connection that has ended.
+func (t *Transport) forget(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.accepted, c)
+}
+
+// checkLiveness pings or closes idle connections with pending calls, and cancels
+// the calls of nodes that have vanished.
 func (t *Transport) checkLiveness() {
 	t.mu.Lock()
+	for c := range t.accepted {
+		c.checkCaller()
+	}
 	links := make([]*link, 0, len(t.links))
 	for _, l := range t.links {
 		links = append(links, l)
