serve: cancel in a fixed order in the test of cancelled requests

TestCancelledRequestsAreCounted cancelled two requests that run and one that waits at the same moment and failed once in a run with the race detector, 'running:3, want 2 running and 1 waiting': cancellations are read one after the other, and the slot that the first one frees goes to the waiting request before its own is read. It is cancelled at once then, so that both counts are true.

--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -444,15 +444,18 @@
 			<-ctx.Done()
 			return serve.Response{}, ctx.Err()
 		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan serve.Result, 3) // two run, one waits
-		for i := range 3 {
+		var cancels []context.CancelFunc
+		done := make(chan serve.Result, 3)
+		for i := range 3 { // two run, the last one waits
+			ctx, cancel := context.WithCancel(context.Background())
+			cancels = append(cancels, cancel)
 			go func() { done <- s.routers["b1"].Serve(ctx, newRequest(fmt.Sprint(i), "look")) }()
+			time.Sleep(10 * time.Millisecond)
 		}
-		time.Sleep(50 * time.Millisecond)
-		cancel()
-		for range 3 {
+		for i := range 3 { // the last one first, so that it gets no slot
+			cancels[2-i]()
 			<-done
+			time.Sleep(10 * time.Millisecond)
 		}
 		synctest.Wait()
 		for _, c := range s.routers["a1"].Metrics().Snapshot().Classes {
