peer, serve: don't send a call whose caller left while it waited to be written

A request reached its target after its caller had left, and its caller's node held it for up to 2 s past its deadline, when the connection to the other node was busy: frames wait their turn to be written, and that wait ended only with the turn or with the connection. The wait now ends with the caller, too. Nothing was sent then, so that the call counts as not sent and the request as not run.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -44,12 +44,19 @@
 	_ = c.raw.Close() // ends readLoop; the tomb keeps the reason
 }
 
-func (c *conn) send(f frame) error {
+// send writes a frame after those that are being written. If the context ends
+// before that, it returns ErrNotSent.
+func (c *conn) send(ctx context.Context, f frame) error {
 	select {
 	case c.writeToken <- struct{}{}:
 		defer func() { <-c.writeToken }()
 	case <-c.tomb.Dying():
 		return c.tomb.Err()
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
+	}
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
@@ -79,7 +86,11 @@
 		delete(c.pending, stream)
 		c.mu.Unlock()
 	}()
-	if err := c.send(frame{kind: frameCall, method: m, stream: stream, body: body}); err != nil {
+	err := c.send(ctx, frame{kind: frameCall, method: m, stream: stream, body: body})
+	switch {
+	case errors.Is(err, ErrNotSent):
+		return nil, err
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, err)
 	}
 	select {
@@ -88,7 +99,7 @@
 	case <-c.tomb.Dying():
 		return nil, fmt.Errorf("%w: connection lost: %w", ErrNoReply, c.tomb.Err())
 	case <-ctx.Done():
-		if err := c.send(frame{kind: frameCancel, stream: stream}); err != nil {
+		if err := c.send(context.WithoutCancel(ctx), frame{kind: frameCancel, stream: stream}); err != nil {
 			return nil, fmt.Errorf("%w: %w: cancel: %w", ErrNoReply, ctx.Err(), err)
 		}
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, ctx.Err())
@@ -109,7 +120,7 @@
 		c.close(errors.New("nothing received from the other node for too long"))
 		return
 	}
-	_ = c.send(frame{kind: framePing}) // a failure closes the connection
+	_ = c.send(context.Background(), frame{kind: framePing}) // a failure closes the connection
 }
 
 func (c *conn) readLoop() error {
@@ -188,7 +199,7 @@
 	}
 	c.pongPending = true
 	c.tomb.Go(func() error {
-		_ = c.send(frame{kind: framePong}) // a failure closes the connection
+		_ = c.send(context.Background(), frame{kind: framePong}) // a failure closes the connection
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.pongPending = false
@@ -219,5 +230,5 @@
 		c.close(fmt.Errorf("handle method %d: %w", f.method, err))
 		return
 	}
-	_ = c.send(frame{kind: frameReply, stream: f.stream, body: reply}) // a failure closes the connection
+	_ = c.send(context.Background(), frame{kind: frameReply, stream: f.stream, body: reply}) // a failure closes the connection
 }
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -106,6 +107,51 @@
 	}
 }
 
+// Guards against a call that waits to be written, and is then sent although its
+// caller has left, or whose caller waits on with it.
+func TestCallerLeavesWhileCallWaitsToBeWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe() // nobody reads from there yet
+		c := newConn(here, New(clock.NewBubble()))
+		first := make(chan error, 1)
+		go func() {
+			_, err := c.call(context.Background(), echoMethod, []byte("first"))
+			first <- err
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		left := time.Now()
+		_, err := c.call(ctx, echoMethod, []byte("second"))
+		if took := time.Since(left); !errors.Is(err, ErrNotSent) || took > maxCancelTime {
+			t.Errorf("call ended after %v with %v, want %v at once", took, err, ErrNotSent)
+		}
+		var sent []string
+		go func() {
+			r := bufio.NewReader(there)
+			for {
+				f, err := readFrame(r)
+				if err != nil {
+					return
+				}
+				sent = append(sent, string(f.body))
+				if f.kind == frameCall {
+					f.kind = frameReply
+					_, _ = there.Write(f.appendTo(nil)) // the other side sees a failure
+				}
+			}
+		}()
+		if err := <-first; err != nil {
+			t.Errorf("first call failed with %v", err)
+		}
+		c.close(net.ErrClosed)
+		synctest.Wait()
+		if len(sent) != 1 {
+			t.Errorf("calls %q were sent, want the first one only", sent)
+		}
+	})
+}
+
 // Guards against work for the callers of a node that vanished without closing its
 // connection.
 func TestNodeOfCallersVanishes(t *testing.T) {
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -94,6 +94,8 @@
 	defer stop()
 	reply, err := peer.Call[forwardedResult](wait, r.cfg.Peers, m.Address, MethodServe, msg)
 	switch {
+	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
+		return notRun(ReasonCallerGone, 0)
 	case errors.Is(err, peer.ErrNotSent):
 		return notRun(ReasonPeerUnreachable, unreachableRetryAfter)
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
