client, serve: bound the memory for answers of targets

A head has at most 64 KiB. Bodies share an eighth of the node's memory, of which one may take half; the first 64 KiB of a body don't count, so that small answers arrive beside large ones. Buffers grow with what has arrived and not with the length that is claimed. A longer answer closes the connection at once and counts as unknown for the reason 'large', never as a crash of the target: the target is up, and the requests beside it are not suspect. Requests that may be repeated go to another target.

Interim answers, chunk extensions and trailers were bounded before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -41,6 +41,9 @@
 	// abortMargin is how long before the end of the drain requests in flight are
 	// aborted, so that their responses are still written.
 	abortMargin = 250 * time.Millisecond
+	// responseMemoryShare is the part of a node's memory for responses that are read
+	// from its target. A response is copied twice on its way to another node.
+	responseMemoryShare = 8
 	// exitMargin is the part of the configured stop time that is left for the exit
 	// of the process.
 	exitMargin = 500 * time.Millisecond
@@ -83,7 +86,7 @@
 	ledger.SetRelays(a.fleet.PeerAddresses)
 	a.router = serve.New(serve.Config{
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region,
-		Fleet: a.fleet, Peers: peers, Target: platform.NewTarget(s.Target.Address, c), Clock: c, Log: log,
+		Fleet: a.fleet, Peers: peers, Target: platform.NewTarget(s.Target.Address, int64(s.Memory)<<20/responseMemoryShare, c), Clock: c, Log: log,
 		RetryRatio: s.Limits.Ratio, RetrySlack: s.Limits.Slack, DrainPeriod: s.Limits.Drain,
 	})
 	ready := http.NewServeMux()
--- a/client/client.go
+++ b/client/client.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -43,8 +42,6 @@
 	// idleMargin is kept from the time that the target names, which counts in
 	// whole seconds from its last answer.
 	idleMargin = 1500 * time.Millisecond
-	// maxAnswer bounds an answer, which is held in memory until it is whole.
-	maxAnswer = 64 << 20
 	// maxStrays is how many answers of other requests are skipped.
 	maxStrays = 4
 )
@@ -71,6 +68,7 @@
 	address  string
 	idHeader string
 	clock    clock.Clock
+	bodies   bodyBudget
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -78,14 +76,16 @@
 }
 
 // NewPool returns a pool for a target, whose answers carry the request's ID in
-// the named header.
-func NewPool(address, idHeader string, c clock.Clock) *Pool {
-	return &Pool{address: address, idHeader: idHeader, clock: c}
+// the named header. The memory in bytes is for the bodies of all answers that are
+// being read, of which a single one may take half.
+func NewPool(address, idHeader string, memory int64, c clock.Clock) *Pool {
+	return &Pool{address: address, idHeader: idHeader, clock: c, bodies: bodyBudget{size: memory}}
 }
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	limit  *limitedConn  // the same connection
+	reader *bufio.Reader // of limit
 	until  time.Duration // on the clock; the connection is not used later
 	past   []string      // IDs of the last requests
 }
@@ -169,7 +169,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReader(c)}, nil
+	limit := &limitedConn{Conn: c}
+	return &conn{Conn: c, limit: limit, reader: bufio.NewReader(limit)}, nil
 }
 
 // Do sends a request and returns its whole answer, ErrNotSent or ErrUnclear.
@@ -209,16 +210,16 @@
 		return Answer{}, false, fmt.Errorf("%w: %w", ErrUnclear, err)
 	}
 	for range maxStrays {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := c.readHead(r.Method)
 		if err != nil {
 			return Answer{}, false, fmt.Errorf("%w: %w", ErrUnclear, err)
 		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-		if err != nil || len(body) > maxAnswer {
-			return Answer{}, false, fmt.Errorf("%w: body of %d bytes is not whole: %w", ErrUnclear, len(body), err)
+		body, err := p.bodies.readBody(resp)
+		if err != nil {
+			return Answer{}, false, fmt.Errorf("%w: %w", ErrUnclear, err)
 		}
 		id := resp.Header.Get(p.idHeader)
 		if id != r.ID && slices.Contains(c.past, id) && !resp.Close {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -15,7 +15,10 @@
 	"burdocklift/clock"
 )
 
-const idHeader = "Request-Id"
+const (
+	idHeader     = "Request-Id"
+	answerMemory = 16 << 20
+)
 
 // serve starts a target that handles each connection with a function.
 func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *client.Pool {
@@ -37,7 +40,7 @@
 			}()
 		}
 	}()
-	p := client.NewPool(l.Addr().String(), idHeader, clock.New())
+	p := client.NewPool(l.Addr().String(), idHeader, answerMemory, clock.New())
 	t.Cleanup(p.Close)
 	return p
 }
@@ -174,7 +177,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p := client.NewPool(l.Addr().String(), idHeader, clock.New())
+		p := client.NewPool(l.Addr().String(), idHeader, answerMemory, clock.New())
 		if err := l.Close(); err != nil {
 			t.Fatal(err)
 		}
--- a/serve/local.go
+++ b/serve/local.go
@@ -101,6 +101,8 @@
 		res := notRun(ReasonRejected, minRetryAfter)
 		res.Sends = 1
 		return res
+	case errors.Is(err, ErrTooLarge):
+		return Result{Outcome: proto.Unknown, Reason: ReasonTooLarge, Sends: 1}
 	case errors.Is(err, context.DeadlineExceeded):
 		return Result{Outcome: proto.Unknown, Reason: ReasonTimeout, Sends: 1}
 	case errors.Is(err, context.Canceled):
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -63,6 +63,9 @@
 	ErrFull = fmt.Errorf("%w: no free capacity", ErrRejected)
 	// ErrNotListening means that no process listens at the target's address.
 	ErrNotListening = errors.New("no process listens at the target's address")
+	// ErrTooLarge means that the response does not fit into the memory for it. The
+	// request may have run, and the target is up.
+	ErrTooLarge = errors.New("response of the target is too large")
 )
 
 // Target runs requests on the local target of this node.
@@ -92,6 +95,7 @@
 	ReasonRejected        Reason = "rejected" // the target rejected the request
 	ReasonPeerUnreachable Reason = "peer"     // the owner's node cannot be reached
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
+	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "gone"     // the caller disconnected
 	ReasonStopping        Reason = "stopping" // the target's node stops
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -183,6 +183,8 @@
 		{"look", failWith(errBroken), proto.Unknown, serve.ReasonNoResponse, 2},
 		{"pay", failWith(serve.ErrRejected), proto.NotRun, serve.ReasonRejected, 2},
 		{"pay", failWith(serve.ErrNotSent), proto.NotRun, serve.ReasonNoTarget, 1},
+		{"pay", failWith(serve.ErrTooLarge), proto.Unknown, serve.ReasonTooLarge, 1},
+		{"look", failWith(serve.ErrTooLarge), proto.Unknown, serve.ReasonTooLarge, 2},
 		{"none", ok, proto.NotRun, serve.ReasonNoRoute, 0},
 	} {
 		for _, entry := range []string{"a1", "b1"} {
