route, node: don't run requests of callers that left unseen

The connection of the caller, or of the node that forwarded the request, is asked before a request is forwarded and before it is sent to the target, and every 200 ms while it runs. The refusal has the new reason 'caller-left'.

--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"burdocklift/conf"
+	"burdocklift/hangup"
 	"burdocklift/kernel"
 	"burdocklift/owner"
 	"burdocklift/poison"
@@ -174,6 +175,7 @@
 		ReadTimeout:       bodyTime,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    headerLimit,
+		ConnContext:       hangup.ConnContext,
 	}}
 }
 
--- a/route/forward.go
+++ b/route/forward.go
@@ -22,6 +22,9 @@
 	if remaining <= 0 {
 		return notRun(ReasonDeadlineExceeded, http.StatusServiceUnavailable)
 	}
+	if req.callerLeft() {
+		return notRun(ReasonCallerLeft, http.StatusServiceUnavailable)
+	}
 	header := forwardableHeaders(req.header)
 	header.Set(proto.HeaderHop, strconv.Itoa(req.hop+1))
 	header.Set(proto.HeaderDeadline, (remaining - min(responseMargin, remaining/10)).String())
--- a/route/request.go
+++ b/route/request.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"burdocklift/conf"
+	"burdocklift/hangup"
 	"burdocklift/proto"
 )
 
@@ -33,10 +34,14 @@
 	epoch    uint64 // epoch of the entry as known to the forwarding node; zero if unknown
 	hop      int
 	region   string // region of the forwarding node
+	// left reports whether the caller has closed its connection; nil if unknown.
+	left func() bool
 	// uncertain is the result of the last attempt that may have run.
 	uncertain *Result
 }
 
+func (req *request) callerLeft() bool { return req.left != nil && req.left() }
+
 // origin is the kind of address on which a request arrived. Headers set by
 // nodes are trusted only from peers.
 type origin uint8
@@ -67,7 +72,10 @@
 	if !ok {
 		return refuse(ReasonNoMatchingClass, http.StatusNotFound)
 	}
-	req := &request{service: service, class: class, method: r.Method, uri: r.URL.RequestURI(), header: r.Header}
+	req := &request{
+		service: service, class: class, method: r.Method, uri: r.URL.RequestURI(), header: r.Header,
+		left: func() bool { return hangup.Closed(r.Context()) },
+	}
 	if service.Keyed {
 		if req.key, ok = service.Key(r.URL.Path, r.Header, r.URL.RawQuery); !ok {
 			return refuse(ReasonMissingKey, http.StatusBadRequest)
--- a/route/result.go
+++ b/route/result.go
@@ -23,6 +23,7 @@
 	ReasonBodyTooLarge           Reason = "body-too-large"
 	ReasonBodyNotRead            Reason = "body-not-read"
 	ReasonDeadlineExceeded       Reason = "deadline-exceeded"
+	ReasonCallerLeft             Reason = "caller-left"
 	ReasonNoOwner                Reason = "no-owner"
 	ReasonNotOwner               Reason = "not-owner"
 	ReasonNoLease                Reason = "no-lease"
--- a/route/router.go
+++ b/route/router.go
@@ -11,6 +11,7 @@
 
 	"burdocklift/conf"
 	"burdocklift/dedup"
+	"burdocklift/hangup"
 	"burdocklift/lease"
 	"burdocklift/pick"
 	"burdocklift/poison"
@@ -169,7 +170,9 @@
 	if refused := req.readBody(w, hr, limit); refused != nil {
 		return *refused
 	}
-	ctx, cancel := context.WithDeadline(hr.Context(), req.deadline)
+	ctx, stop := hangup.Watch(hr.Context(), r.clock)
+	defer stop()
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	res := handle(ctx, req)
 	if res.Outcome == proto.NotRun && req.uncertain != nil {
--- a/route/target.go
+++ b/route/target.go
@@ -133,6 +133,10 @@
 			return res, false
 		}
 	}
+	if req.callerLeft() {
+		res = notRun(ReasonCallerLeft, http.StatusServiceUnavailable)
+		return res, false
+	}
 	res, wait = r.runGuarded(t, f, func() (Result, error) { return r.dispatch(ctx, req, t, d) })
 	return res, wait
 }
--- a/route/world_test.go
+++ b/route/world_test.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"burdocklift/conf"
+	"burdocklift/hangup"
 	"burdocklift/lease"
 	"burdocklift/proto"
 	"burdocklift/shard"
@@ -93,7 +94,9 @@
 		h.router.SetRules(rules)
 		h.router.slowStart = 0
 		start := func(f http.HandlerFunc) string {
-			s := httptest.NewServer(f)
+			s := httptest.NewUnstartedServer(f)
+			s.Config.ConnContext = hangup.ConnContext
+			s.Start()
 			t.Cleanup(s.Close)
 			t.Cleanup(s.CloseClientConnections)
 			return strings.TrimPrefix(s.URL, "http://")
