route: a once-only request leaves the queue with its caller

Callers that stayed were refused or waited longer, since once-only requests of callers that had left kept their place in the admission queue: the request was detached from its caller before it waited, not when it was sent. It is detached when it is sent now. Until then it has not run, the idempotency table forgets it, and a retry with the same id runs.

route.TestQueuedOnceOnlyRequestOfDepartedCaller before: the request still waits 1 s after its caller has left, at the owner and forwarded; and with the check of the caller's connection taken out, too, it ran: 2 requests ran, want 1. After: it leaves the queue, one runs, and the retry is answered.

--- a/route/departed_test.go
+++ b/route/departed_test.go
@@ -1,8 +1,11 @@
 package route
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +91,59 @@
 		})
 	}
 }
+
+// Guards against once-only requests that wait for a slot on behalf of a caller that
+// has left, and against a retry that does not run then.
+func TestQueuedOnceOnlyRequestOfDepartedCaller(t *testing.T) {
+	for ingress, name := range []string{"at the owner", "forwarded"} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			w := newCluster(t, 2, "permit", func(h *host, rw http.ResponseWriter, r *http.Request) {
+				<-release
+				echo(h, rw, r)
+			})
+			owner := w.hosts[0].router
+			rules := *owner.rules.Load()
+			rules.Limits.Slots = 1
+			owner.SetRules(&rules)
+			first := w.sendAsync(ingress, "POST", "/permit/p/k", "", proto.HeaderID, newID(t))
+			eventually(t, "request at the target", func() bool { return w.runs() == 1 })
+			id := newID(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			req, err := http.NewRequestWithContext(ctx, "POST", "http://"+w.hosts[ingress].caller+"/permit/p/k", strings.NewReader(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set(proto.HeaderID, id)
+			left := make(chan error, 1)
+			go func() {
+				resp, err := http.DefaultClient.Do(req)
+				if err == nil {
+					err = fmt.Errorf("status %d", resp.StatusCode)
+					_ = resp.Body.Close() // the test has failed already
+				}
+				left <- err
+			}()
+			limiter := owner.target.Load().limiter
+			eventually(t, "second request waits", func() bool { return limiter.Waiting() == 1 })
+			cancel()
+			<-left
+			for end := time.Now().Add(time.Second); limiter.Waiting() > 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			if limiter.Waiting() > 0 {
+				t.Error("request still waits 1 s after its caller has left")
+			}
+			close(release)
+			(<-first).want(t, proto.Answered, "")
+			time.Sleep(50 * time.Millisecond)
+			if n := w.runs(); n != 1 {
+				t.Errorf("%d requests ran, want 1", n)
+			}
+			w.send(ingress, "POST", "/permit/p/k", "", proto.HeaderID, id).want(t, proto.Answered, "")
+			if n := w.runs(); n != 2 {
+				t.Errorf("%d requests ran with the retry, want 2", n)
+			}
+		})
+	}
+}
--- a/route/once.go
+++ b/route/once.go
@@ -114,8 +114,9 @@
 // recorded response. It is not a valid header name, so no target can send it.
 const recordedLengthKey = "\x00length"
 
-// runAndRecord runs a request and records its outcome. It continues after the
-// caller has disconnected, so that a retry finds the response.
+// runAndRecord runs a request and records its outcome. From the moment at which the
+// request is sent, it continues after the caller has disconnected, so that a retry
+// finds the response.
 func (r *Router) runAndRecord(ctx context.Context, req *request, t *localTarget, d shard.Decision, scope uint32) Result {
 	table := r.idempotency.Load()
 	ended := false
@@ -124,9 +125,7 @@
 			table.Abandon(req.id, scope)
 		}
 	}()
-	detached, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.deadline)
-	defer cancel()
-	res := r.admit(detached, req, t, d)
+	res := r.admit(ctx, req, t, d)
 	ended = true
 	switch res.Outcome {
 	case proto.Answered:
--- a/route/own.go
+++ b/route/own.go
@@ -90,6 +90,12 @@
 	if remaining <= 0 {
 		return notRun(ReasonDeadlineExceeded, http.StatusServiceUnavailable), context.DeadlineExceeded
 	}
+	if req.class.Once {
+		// The response is recorded for a retry, whether the caller waits or not.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), req.deadline)
+		defer cancel()
+	}
 	header.Set(proto.HeaderDeadline, remaining.String())
 	var preSend func() error
 	if req.service.Keyed {
--- a/route/target.go
+++ b/route/target.go
@@ -133,7 +133,7 @@
 			return res, false
 		}
 	}
-	if req.callerLeft() {
+	if errors.Is(ctx.Err(), context.Canceled) || req.callerLeft() {
 		res = notRun(ReasonCallerLeft, http.StatusServiceUnavailable)
 		return res, false
 	}
