--- a/route/client.go
+++ b/route/client.go
@@ -11,6 +11,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"burdocklift/client"
 )
 
 const (
@@ -92,6 +94,8 @@
 			MaxConnsPerHost:     connections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			// The default of 10 MiB a connection exceeds the memory of a host.
+			MaxResponseHeaderBytes: client.MaxHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
