pick, serve, route: don't hold it against a target that a caller left

Callers that stayed were kept from sound targets, as each caller that left before its answer counted as a failure of the target: targets were ejected for up to a minute. Such an end now says nothing about the target.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -54,6 +54,9 @@
 	// Busy means that the request did not run for lack of slots. This does not
 	// count as a failure, but the target counts as fully loaded for a short time.
 	Busy bool
+	// Abandoned means that the caller left before there was an outcome, which says
+	// nothing about the target.
+	Abandoned bool
 }
 
 // Picker is a load balancer that chooses by power of two choices. The zero value
@@ -227,9 +230,12 @@
 	t.inFlight--
 	now := p.clock.Now()
 	t.lastUsed = now
-	if res.Busy {
+	switch {
+	case res.Busy:
 		t.busyUntil = now.Add(busyTime)
 		return
+	case res.Abandoned:
+		return
 	}
 	p.observe(now, t, res.Success)
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"burdocklift/pick"
@@ -54,8 +55,9 @@
 	var res Result
 	defer func() {
 		r.picker.Done(c, pick.Result{
-			Success: res.Outcome == proto.Answered && res.Status < http.StatusInternalServerError,
-			Busy:    res.Reason == ReasonQueueFull || res.Reason == ReasonShed || res.Reason == ReasonDeadlineUnmeetable,
+			Success:   res.Outcome == proto.Answered && res.Status < http.StatusInternalServerError,
+			Busy:      res.Reason == ReasonQueueFull || res.Reason == ReasonShed || res.Reason == ReasonDeadlineUnmeetable,
+			Abandoned: res.Reason == ReasonCallerLeft || errors.Is(ctx.Err(), context.Canceled),
 		})
 	}()
 	if h := hosts[c.Name]; h.Member.ID == view.Self() {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -208,7 +208,10 @@
 		m, _ := v.Member(c.Name)
 		res = r.sendTo(ctx, j, m)
 		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonRejected
-		picker.Done(c, pick.Result{Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500})
+		picker.Done(c, pick.Result{
+			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
+			Abandoned: res.Reason == ReasonCallerGone,
+		})
 		if res.Sends > 0 {
 			j.triedNodes = append(j.triedNodes, c.Name)
 		}
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -472,3 +472,35 @@
 		t.Error("cancelled requests are not counted")
 	})
 }
+
+// Guards against a target that is avoided for the callers that stay since others
+// left before it answered.
+func TestDepartedCallersDontCountAgainstTarget(t *testing.T) {
+	runInSite(t, func(t *testing.T, s *site) {
+		ctx, cancel := context.WithCancel(context.Background())
+		end := s.start(ctx, "b2", "archive", s.ledger)
+		defer func() { cancel(); <-end }()
+		time.Sleep(3 * time.Second)
+		s.targets["b1"].reply = func(ctx context.Context, req *serve.Request) (serve.Response, error) {
+			if strings.HasPrefix(req.ID, "leaves") {
+				<-ctx.Done()
+				return serve.Response{}, ctx.Err()
+			}
+			return ok(ctx, req)
+		}
+		for i := range 60 {
+			callerCtx, leave := context.WithTimeout(context.Background(), time.Minute)
+			time.AfterFunc(5*time.Millisecond, leave)
+			s.routers["a1"].Serve(callerCtx, newRequest(fmt.Sprint("leaves", i), "read"))
+			leave()
+		}
+		before := s.targets["b1"].count()
+		for i := range 60 {
+			res := s.routers["a1"].Serve(context.Background(), newRequest(fmt.Sprint("stays", i), "read"))
+			assertResult(t, res, proto.Answered, serve.ReasonAnswered)
+		}
+		if n := s.targets["b1"].count() - before; n < 15 {
+			t.Errorf("target got %d of 60 requests, want about half", n)
+		}
+	})
+}
