peer: don't hold up the checks of all connections behind one ping

A node noticed late, by up to 2 s for each connection that could not be written to, that other nodes had vanished, and waited that long for their replies or worked that long for their callers: all connections are checked in turn, and the ping to a node that does not read waited for the frame before it. No ping is sent now while a frame is being written; its arrival tells as much.

Found by reading. peer.TestPingThatCannotBeWritten before: the check took 1.4 s beside such a connection; after: no time. A ping may still wait for the kernel where a full buffer was left by a write that has ended.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -58,6 +58,11 @@
 	if err := ctx.Err(); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	return c.write(f)
+}
+
+// write writes a frame. The caller holds the token.
+func (c *conn) write(f frame) error {
 	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -120,7 +125,12 @@
 		c.close(errors.New("nothing received from the other node for too long"))
 		return
 	}
-	_ = c.send(context.Background(), frame{kind: framePing}) // a failure closes the connection
+	select {
+	case c.writeToken <- struct{}{}:
+		defer func() { <-c.writeToken }()
+		_ = c.write(frame{kind: framePing}) // a failure closes the connection
+	default: // the other node receives the frame that is being written
+	}
 }
 
 func (c *conn) readLoop() error {
--- a/peer/conn_test.go
+++ b/peer/conn_test.go
@@ -187,3 +187,28 @@
 		})
 	}
 }
+
+// Guards against one node that does not read, and keeps this one from noticing
+// that others have vanished.
+func TestPingThatCannotBeWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := New(clock.NewBubble())
+		here, there := net.Pipe() // nobody reads from there
+		defer func() { _ = there.Close() }()
+		c := newConn(here, node)
+		node.links["full"] = &link{conn: c}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.call(context.Background(), echoMethod, []byte("call"))
+			ended <- err
+		}()
+		time.Sleep(2 * pingIdleTime)
+		began := time.Now()
+		node.checkLiveness()
+		if took := time.Since(began); took > 0 {
+			t.Errorf("check took %v beside a connection that cannot be written to", took)
+		}
+		c.close(net.ErrClosed)
+		<-ended
+	})
+}
