soak: let callers leave, and check that work for them ends

The soak had no caller that left before its answer, and no promise about it. A quarter of the requests are left now: at once, before the answer is due, or after the start of a further request; one in 12 takes 0.6 to 1.6 s. The promise GONE follows the stated bound of 0.5 s and counts requests whose two machines were undisturbed for 3 s. The load goes on for 6 s after the recovery. The new plant linger, targets that work on, must be found.

CrashTarget now holds back starts until it is done.

--- a/agent/departed_test.go
+++ b/agent/departed_test.go
@@ -204,7 +204,7 @@
 }
 
 func head(method, path, id string) string {
-	return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\n\r\n"
+	return stand.Request{Method: method, Host: "h.example", Path: path, ID: id, Key: -1, Timeout: 2 * time.Second}.Text()
 }
 
 func dial(t *testing.T, h *host) net.Conn {
--- a/soak/check.go
+++ b/soak/check.go
@@ -22,6 +22,7 @@
 	requests map[string]*request
 	targets  map[*stand.Target]bool
 	broken   []string
+	notes    []string
 	counts   map[string]int // by status, or "error"
 	began    time.Time
 }
@@ -168,6 +169,20 @@
 	}
 }
 
+// Note notes what belongs to a promise that may be broken.
+func (c *Checker) Note(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notes = append(c.notes, fmt.Sprintf(format, args...))
+}
+
+// Notes returns all notes.
+func (c *Checker) Notes() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.notes...)
+}
+
 // Breaks notes a promise that was found broken elsewhere.
 func (c *Checker) Breaks(promise, format string, args ...any) {
 	c.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -84,16 +84,19 @@
 		case 0:
 			d *= 2 // up to 10 s, so that others take over the keys of a target that runs on
 			r.note(d+restartSlack, "kill %s for %v", m.name, d)
+			m.Disturb(d + restartSlack)
 			m.Kill()
 			r.later(ctx, d, func() { r.restart(m) })
 		case 1, 2:
 			r.report("stop " + m.name)
+			m.Disturb(stopTime + stopSlack + restartSlack)
 			r.later(ctx, 0, func() {
 				m.Stop()
 				r.restart(m)
 			})
 		case 3:
 			r.note(d, "pause %s for %v", m.name, d)
+			m.Disturb(d)
 			m.Signal(syscall.SIGSTOP)
 			r.later(ctx, d, func() { m.Signal(syscall.SIGCONT) })
 		case 4:
@@ -123,10 +126,14 @@
 				p, what = m.stored, "store"
 			}
 			r.note(d, "path between %s and %s disturbed (%d) for %v", m.name, what, how, d)
+			if p == m.peers {
+				m.Disturb(d)
+			}
 			p.Set(how)
 			r.later(ctx, d, func() { p.Set(Calm) })
 		case 10:
 			r.note(0, "connections of %s reset", m.name)
+			m.Disturb(0)
 			m.peers.Reset()
 			m.stored.Reset()
 		case 11:
@@ -145,6 +152,7 @@
 		case 14:
 			r.note(d+restartSlack, "all nodes killed for %v", d)
 			for _, m := range r.site.machines {
+				m.Disturb(d + restartSlack)
 				m.Kill()
 			}
 			r.later(ctx, d, func() {
--- a/soak/load.go
+++ b/soak/load.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -23,6 +25,8 @@
 	// calmTime is the time without a disturbance after which a planned stop may cut no
 	// request.
 	calmTime = 3 * time.Second
+	// maxStay is how long callers that leave stay, in milliseconds.
+	maxStay = 300
 	// hotKeys of all requests for keys are for a few neighbouring ones.
 	hotKeys = 0.3
 )
@@ -34,7 +38,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; wait(ctx, pause); n++ {
 		id := fmt.Sprintf("%s-%d-%d", m.name, seed, n)
-		switch rng.IntN(6) {
+		switch rng.IntN(8) {
 		case 0, 1:
 			r.call(ctx, client, m, "POST", "/pay/x", id, key(rng), false)
 		case 2:
@@ -43,6 +47,8 @@
 			r.call(ctx, client, m, "GET", "/read/x", id, -1, true)
 		case 5:
 			r.probe(ctx, client, m, id, rng)
+		default:
+			r.leave(ctx, m, id, rng)
 		}
 	}
 }
@@ -69,6 +75,35 @@
 	r.check.Answer(id, a, err, calm && r.stopsPlanned(m))
 }
 
+// leave sends a request and closes the connection at once or before the answer is
+// due, in some cases after the start of a further request.
+func (r *Runner) leave(ctx context.Context, m *Machine, id string, rng *rand.Rand) {
+	req := stand.Request{Method: "GET", Host: host, Path: "/read/x", ID: id, Key: -1, Timeout: patience}
+	switch rng.IntN(4) {
+	case 0:
+		req.Path, req.Key = "/look/x", key(rng)
+	case 1:
+		req.Method, req.Path, req.Key = "POST", "/pay/x", key(rng)
+	}
+	stay := time.Duration(rng.IntN(maxStay)) * time.Millisecond
+	how := rng.IntN(3)
+	conn, err := net.DialTimeout("tcp", m.at(portCaller), patience)
+	if err != nil {
+		return // the node does not run
+	}
+	r.check.Sends(id, req.Method == "GET")
+	_, _ = io.WriteString(conn, req.Text()) // fails if the node ends meanwhile
+	if how > 0 {
+		wait(ctx, stay)
+	}
+	if how > 1 {
+		_, _ = io.WriteString(conn, "GET /re") // as above
+		wait(ctx, stay/2)
+	}
+	_ = conn.Close() // as above
+	r.site.left.Left(id, m, req.Method == "GET")
+}
+
 // probe asks whether a node knows the route of a version.
 func (r *Runner) probe(ctx context.Context, client *http.Client, m *Machine, id string, rng *rand.Rand) {
 	p := m.Process()
--- a/soak/main.go
+++ b/soak/main.go
@@ -38,6 +38,9 @@
 	// three nodes lost together wait 25.3 s for their witnesses.
 	startTime  = 20 * time.Second
 	settleTime = 40 * time.Second
+	// calmEnd is how long the load goes on after that: time for callers that leave
+	// while no machine counts as disturbed.
+	calmEnd = contactTime + 3*time.Second
 	// enough is the share of requests that is to be served then.
 	enough = 0.9
 	// probes is the number of requests for each node by which it is measured.
@@ -163,10 +166,15 @@
 	if !r.awaitServed(ctx, settleTime) {
 		check.Breaks("RECOVER", "less than %.0f%% is served %v after all disturbances", 100*enough, settleTime)
 	}
+	wait(ctx, calmEnd)
 	endLoad()
 	group.Wait()
-	printf(out, "seed %d: %d nodes, %v of faults, %v in all, answers %v\n", o.Seed, o.Nodes, o.Time,
-		time.Since(check.began).Round(time.Second), check.Counts())
+	left, lasting, late := site.left.Check(check, (*Machine).Disturbed)
+	for _, n := range check.Notes() {
+		r.report(n)
+	}
+	printf(out, "seed %d: %d nodes, %v of faults, %v in all, answers %v; callers left %d requests, %d of them long, %d late\n",
+		o.Seed, o.Nodes, o.Time, time.Since(check.began).Round(time.Second), check.Counts(), left, lasting, late)
 	return check.Broken(), ctx.Err()
 }
 
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -13,7 +13,7 @@
 // Plants are faults that a run can be given to show that its checks find them. They
 // stand for faults of a node, and act where its bytes pass: in the stand-ins of the
 // store and the target.
-var Plants = []string{"resend", "refuse", "truncate", "hold", "rules", "drain"}
+var Plants = []string{"resend", "refuse", "truncate", "hold", "rules", "drain", "linger"}
 
 // plantTarget returns the fault of a target, or nil.
 func plantTarget(plant string) *stand.Fault {
@@ -26,6 +26,8 @@
 		return &stand.Fault{Truncate: true}
 	case "hold":
 		return &stand.Fault{HoldFactor: 4}
+	case "linger":
+		return &stand.Fault{Linger: true}
 	case "drain":
 		return &stand.Fault{HideDrain: true}
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,9 @@
 	storeTime = 4 * time.Millisecond // of each call to the store
 	stopTime  = 6 * time.Second      // that a node has to stop; in its settings
 	stopSlack = 2 * time.Second      // for a loaded machine, after which it is killed
+	// contactTime is how long a machine counts as disturbed afterwards.
+	contactTime = 3 * time.Second
+	longEvery   = 12 // one request in so many takes over half a second
 )
 
 // runs is the number of sites that this process has started.
@@ -54,6 +58,7 @@
 	store  *http.Server
 	rng    *rand.Rand // of service times
 	rngMu  sync.Mutex
+	left   Departures
 
 	machines []*Machine
 
@@ -73,11 +78,15 @@
 
 	starting sync.Mutex // one start at a time
 
-	mu      sync.Mutex
-	process *Process
-	target  *stand.Target
+	mu        sync.Mutex
+	process   *Process
+	target    *stand.Target
+	disturbed []period // in the order of their begin
 }
 
+// period is a time from one moment to another.
+type period struct{ from, to time.Time }
+
 // Process is one run of a node.
 type Process struct {
 	cmd   *exec.Cmd
@@ -156,6 +165,9 @@
 func (s *Site) Work() time.Duration {
 	s.rngMu.Lock()
 	defer s.rngMu.Unlock()
+	if s.rng.IntN(longEvery) == 0 {
+		return time.Duration(600+s.rng.IntN(1000)) * time.Millisecond
+	}
 	return time.Duration(5+s.rng.IntN(60)) * time.Millisecond
 }
 
@@ -189,6 +201,21 @@
 	return os.WriteFile(m.settings(), []byte(text), 0o600)
 }
 
+// Disturb notes that the machine is disturbed for a time from now on. It counts as
+// disturbed for contactTime more.
+func (m *Machine) Disturb(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.disturbed = append(m.disturbed, period{time.Now(), time.Now().Add(d + contactTime)})
+}
+
+// Disturbed reports whether the machine was disturbed at some moment of a time.
+func (m *Machine) Disturbed(from, to time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.disturbed, func(p period) bool { return p.from.Before(to) && from.Before(p.to) })
+}
+
 // StartNode starts the node, whose log goes on in the same file.
 func (m *Machine) StartNode() error {
 	log, err := os.OpenFile(filepath.Join(m.site.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -265,7 +292,10 @@
 	s.mu.Unlock()
 	t, err := stand.Start(stand.Config{
 		ID: id, StartedAt: time.Now(), Service: m.service, Slots: slots, Sharded: m.service == desk, Address: m.at(portTarget),
-		Node: m.at(portBeat), WorkTime: s.Work, OnExecution: s.check.Began, OnHoldsChange: s.check.Held, Fault: plantTarget(plant),
+		Node: m.at(portBeat), WorkTime: s.Work,
+		OnExecution:   func(t *stand.Target, e stand.Execution) { s.check.Began(t, e); s.left.Began(m, e) },
+		OnEnd:         func(_ *stand.Target, e stand.Execution) { s.left.Ended(e) },
+		OnHoldsChange: s.check.Held, Fault: plantTarget(plant),
 	})
 	if err != nil {
 		return err
@@ -283,8 +313,11 @@
 	return m.target
 }
 
-// CrashTarget ends the target without a word.
+// CrashTarget ends the target without a word. None is started before its address is
+// free again.
 func (m *Machine) CrashTarget() {
+	m.starting.Lock()
+	defer m.starting.Unlock()
 	m.mu.Lock()
 	t := m.target
 	m.target = nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,7 +52,7 @@
 func TestPlantsAreFound(t *testing.T) {
 	binary := build(t)
 	for plant, promises := range map[string][]string{
-		"resend": {"TWICE"}, "truncate": {"MIXED"},
+		"resend": {"TWICE"}, "truncate": {"MIXED"}, "linger": {"GONE"},
 		"refuse": {"REFUSED", "TWICE"}, // the node may repeat what is said not to have run
 	} {
 		t.Run(plant, func(t *testing.T) {
