client: bound a body at 8 MiB whatever memory its reader has

The nodes of a site have 184 to 536 MB. A body of a 16th of the larger memory, 33 MiB, was read whole by the target's node and forwarded to a caller's node that may have 184 MB and holds it twice. client.TestLargeAnswers/on_a_large_host before: an answer of 8 MiB + 1 byte was accepted with 128 MiB for answers; after: too large.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -22,6 +22,12 @@
 
 // serve starts a target that handles each connection with a function.
 func serve(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) *client.Pool {
+	t.Helper()
+	return serveWith(t, answerMemory, handle)
+}
+
+// serveWith is serve with another memory for answers, in bytes.
+func serveWith(t *testing.T, memory int64, handle func(c net.Conn, r *bufio.Reader)) *client.Pool {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -40,7 +46,7 @@
 			}()
 		}
 	}()
-	p := client.NewPool(l.Addr().String(), idHeader, answerMemory, clock.New())
+	p := client.NewPool(l.Addr().String(), idHeader, memory, clock.New())
 	t.Cleanup(p.Close)
 	return p
 }
--- a/client/endless_test.go
+++ b/client/endless_test.go
@@ -115,9 +115,9 @@
 // sized serves a target that answers with a body of as many bytes as the ID of the
 // request says, with or without a length. To other requests it sends 6 MiB of a
 // body and then nothing.
-func sized(t *testing.T, withLength bool) *client.Pool {
+func sized(t *testing.T, withLength bool, memory int64) *client.Pool {
 	t.Helper()
-	return serve(t, func(c net.Conn, r *bufio.Reader) {
+	return serveWith(t, memory, func(c net.Conn, r *bufio.Reader) {
 		id, ok := readRequest(r)
 		if !ok {
 			return
@@ -149,7 +149,7 @@
 func TestLargeAnswers(t *testing.T) {
 	for name, withLength := range map[string]bool{"with a length": true, "without a length": false} {
 		t.Run(name, func(t *testing.T) {
-			p := sized(t, withLength)
+			p := sized(t, withLength, answerMemory)
 			for range 5 {
 				for _, size := range []int{0, 1, 600, 64 << 10, 1 << 20, answerMemory / 2} {
 					assertLength(t, p, size)
@@ -160,8 +160,15 @@
 			}
 		})
 	}
+	t.Run("on a large host", func(t *testing.T) {
+		p := sized(t, true, 8*answerMemory)
+		assertLength(t, p, 8<<20)
+		if _, err := do(p, strconv.Itoa(8<<20+1)); !errors.Is(err, client.ErrTooLarge) {
+			t.Errorf("error of an answer that a small host cannot hold is %v", err)
+		}
+	})
 	t.Run("small ones beside large ones", func(t *testing.T) {
-		p := sized(t, true)
+		p := sized(t, true, answerMemory)
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 4)
 		for range cap(ended) {
--- a/client/limit.go
+++ b/client/limit.go
@@ -20,6 +20,9 @@
 	// smallBody is the size in bytes up to which a body is read without regard to
 	// the other bodies.
 	smallBody = 64 << 10
+	// maxBody bounds a body in bytes, also on hosts with much memory: the node of the
+	// caller, which gets it whole, may be on a smaller one.
+	maxBody = 8 << 20
 	// largestShare is the part of the memory for answers that a single body may
 	// take.
 	largestShare = 2
@@ -70,7 +73,7 @@
 // readBody reads the body of an answer to its end. The buffer grows with the bytes
 // that have arrived, whatever length the answer claims.
 func (b *bodyBudget) readBody(r *http.Response) ([]byte, error) {
-	limit := max(b.size/largestShare, smallBody)
+	limit := min(max(b.size/largestShare, smallBody), maxBody)
 	if r.Body != http.NoBody && r.ContentLength > limit {
 		return nil, fmt.Errorf("%w: length %d, at most %d bytes are accepted", ErrTooLarge, r.ContentLength, limit)
 	}
