soak: start no target while a process is being started, and keep notes on late work

A new process has copies of all listeners of the soak until it runs its program, so that the address of a target that has just ended is still in use.

--- a/soak/left.go
+++ b/soak/left.go
@@ -90,7 +90,7 @@
 			all++
 			if x.began.After(limit) {
 				arrivals++
-				check.Note("request %s reaches %s %v after its caller left %s", id, x.machine.name, x.began.Sub(q.left), q.entry.name)
+				check.Note("request %s reaches %s %v after its caller left %s, at %v", id, x.machine.name, x.began.Sub(q.left), q.entry.name, q.left.Sub(check.began))
 			}
 			if !q.repeats || !x.began.Add(x.work).After(limit) {
 				continue
@@ -98,7 +98,7 @@
 			lasting++
 			if x.end.After(limit) {
 				late++
-				check.Note("%s works on request %s until %v after its caller left %s", x.machine.name, id, x.end.Sub(q.left), q.entry.name)
+				check.Note("%s works on request %s until %v after its caller left %s, at %v", x.machine.name, id, x.end.Sub(q.left), q.entry.name, q.left.Sub(check.began))
 			}
 		}
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -97,7 +97,7 @@
 		one := o
 		one.Seed = seed + uint64(i)
 		one.Dir = filepath.Join(dir, fmt.Sprint("seed-", one.Seed))
-		broken, err := play(ctx, one, out)
+		broken, notes, err := play(ctx, one, out)
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", one.Seed, err)
 		}
@@ -107,7 +107,17 @@
 			for _, b := range broken[:min(len(broken), 10)] {
 				printf(out, "  %s\n", b)
 			}
-		} else if err := os.RemoveAll(one.Dir); err != nil {
+		}
+		if len(notes) > 0 {
+			printf(out, "seed %d: noted, logs in %s\n", one.Seed, one.Dir)
+			for _, n := range notes[:min(len(notes), 10)] {
+				printf(out, "  %s\n", n)
+			}
+		}
+		if len(broken)+len(notes) > 0 {
+			continue
+		}
+		if err := os.RemoveAll(one.Dir); err != nil {
 			return err
 		}
 	}
@@ -120,20 +130,20 @@
 // printf tells people what happened; the exit status does not depend on it.
 func printf(out io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(out, format, args...) }
 
-// play runs one seed and returns the broken promises.
-func play(ctx context.Context, o Options, out io.Writer) ([]string, error) {
+// play runs one seed and returns the broken promises, and notes on what came close.
+func play(ctx context.Context, o Options, out io.Writer) (broken, notes []string, err error) {
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	check := NewChecker()
 	site, err := NewSite(o.Binary, o.Dir, o.Nodes, o.Seed, o.Plant, check)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer site.Close()
 	schedule, err := os.Create(filepath.Join(o.Dir, "schedule.log"))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = schedule.Close() }() // only read by people
 	r := &Runner{site: site, check: check, rng: rand.New(rand.NewPCG(o.Seed, 0)), plant: o.Plant}
@@ -149,7 +159,7 @@
 	}
 	if !r.awaitServed(ctx, startTime) {
 		check.Breaks("START", "less than %.0f%% is served %v after the start", 100*enough, startTime)
-		return check.Broken(), ctx.Err()
+		return check.Broken(), nil, ctx.Err()
 	}
 	load, endLoad := context.WithCancel(ctx)
 	var group sync.WaitGroup
@@ -170,12 +180,9 @@
 	endLoad()
 	group.Wait()
 	left, lasting, late := site.left.Check(check, (*Machine).Disturbed)
-	for _, n := range check.Notes() {
-		r.report(n)
-	}
 	printf(out, "seed %d: %d nodes, %v of faults, %v in all, answers %v; callers left %d requests, %d of them long, %d late\n",
 		o.Seed, o.Nodes, o.Time, time.Since(check.began).Round(time.Second), check.Counts(), left, lasting, late)
-	return check.Broken(), ctx.Err()
+	return check.Broken(), check.Notes(), ctx.Err()
 }
 
 // awaitServed waits until enough requests are served.
--- a/soak/site.go
+++ b/soak/site.go
@@ -62,6 +62,10 @@
 
 	machines []*Machine
 
+	// forks is held while a process or a target starts: until a new process runs its
+	// program it has copies of all listeners, whose addresses are in use then.
+	forks sync.Mutex
+
 	mu      sync.Mutex
 	version int
 	targets int // started so far
@@ -224,7 +228,10 @@
 	}
 	cmd := exec.Command(m.site.binary, "agent", m.settings())
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	m.site.forks.Lock()
+	err = cmd.Start()
+	m.site.forks.Unlock()
+	if err != nil {
 		return errors.Join(fmt.Errorf("node %s: %w", m.name, err), log.Close())
 	}
 	p := &Process{cmd: cmd, log: log, ended: make(chan struct{})}
@@ -290,6 +297,8 @@
 	s.targets++
 	id := fmt.Sprintf("i-%04d", s.targets)
 	s.mu.Unlock()
+	s.forks.Lock()
+	defer s.forks.Unlock()
 	t, err := stand.Start(stand.Config{
 		ID: id, StartedAt: time.Now(), Service: m.service, Slots: slots, Sharded: m.service == desk, Address: m.at(portTarget),
 		Node: m.at(portBeat), WorkTime: s.Work,
