--- a/agent/departed_test.go
+++ b/agent/departed_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,26 @@
 // repeated after its caller has left.
 const maxWorkAfterDeparture = 500 * time.Millisecond
 
+// Ports on the loopback address of each host.
+const (
+	portTarget = 7201 + iota
+	portCaller
+	portReady
+	portBeat
+	portPeer
+	portLast
+)
+
+// hostCount is the number of hosts that this process has started.
+var hostCount atomic.Int32
+
+// nextIP returns a loopback address on which no other host of this or another run
+// listens.
+func nextIP() string {
+	run := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 220+run%30, run/30%250, hostCount.Add(1))
+}
+
 // host is a running node with its target.
 type host struct {
 	settings conf.Agent
@@ -41,35 +62,21 @@
 	return len(h.began)
 }
 
-// workEnd waits until the target has ended its work on a request.
-func (h *host) workEnd(t *testing.T, id string) time.Time {
+// await waits until one of the host's times is known for a request.
+func (h *host) await(t *testing.T, times *map[string]time.Time, id string) time.Time {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		h.mu.Lock()
-		at, ok := h.ended[id]
+		at, ok := (*times)[id]
 		h.mu.Unlock()
 		if ok {
 			return at
 		}
 	}
-	t.Fatalf("target did not end its work on request %s", id)
+	t.Fatalf("target did not begin or end its work on request %s", id)
 	return time.Time{}
 }
 
-// awaitStart waits until the target works on a request.
-func (h *host) awaitStart(t *testing.T, id string) {
-	t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-		h.mu.Lock()
-		_, ok := h.began[id]
-		h.mu.Unlock()
-		if ok {
-			return
-		}
-	}
-	t.Fatalf("target did not begin to work on request %s", id)
-}
-
 // startHosts starts nodes whose targets serve "archive", which has no keys, and
 // work for the given time on each request. The first node has a target of another
 // service if there are several, so that it forwards.
@@ -121,14 +128,14 @@
 
 func startHost(t *testing.T, name, service, store string) *host {
 	t.Helper()
-	p := freePorts(t, 6)
-	at := func(i int) string { return fmt.Sprint("127.0.0.1:", p[i]) }
+	ip := nextIP()
+	at := func(port int) string { return fmt.Sprint(ip, ":", port) }
 	h := &host{began: make(map[string]time.Time), ended: make(map[string]time.Time)}
 	h.settings = conf.Agent{
 		Name: name, DataCentre: "d", Region: "r", Store: store, Memory: 256,
-		Target: conf.AgentTarget{Service: service, Address: at(0)},
+		Target: conf.AgentTarget{Service: service, Address: at(portTarget)},
 		Addresses: conf.AgentAddress{
-			IP: "127.0.0.1", Caller: at(1), Ready: at(2), Target: at(3), Ports: []int{p[4], p[5]},
+			IP: ip, Caller: at(portCaller), Ready: at(portReady), Target: at(portBeat), Ports: []int{portPeer, portLast},
 		},
 		Limits: conf.AgentLimits{Drain: time.Second, Stop: 2 * time.Second, Hold: 10 * time.Second, Ratio: 0.2, Slack: 20},
 	}
@@ -146,7 +153,7 @@
 		}
 	})
 	target, err := stand.Start(stand.Config{
-		ID: "i-" + name, StartedAt: time.Now(), Service: service, Slots: 100, Address: at(0), Node: at(3),
+		ID: "i-" + name, StartedAt: time.Now(), Service: service, Slots: 100, Address: at(portTarget), Node: at(portBeat),
 		WorkTime: func() time.Duration { return time.Duration(h.work.Load()) },
 		OnExecution: func(_ *stand.Target, e stand.Execution) {
 			h.mu.Lock()
@@ -167,33 +174,6 @@
 	return h
 }
 
-// freePorts returns ports in ascending order on which nothing listens.
-func freePorts(t *testing.T, n int) []int {
-	t.Helper()
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close() // nothing was accepted
-		var ports []int
-		for port := first; port < first+n; port++ {
-			l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
-			if err != nil {
-				break
-			}
-			_ = l.Close() // nothing was accepted
-			ports = append(ports, port)
-		}
-		if len(ports) == n {
-			return ports
-		}
-	}
-	t.Fatalf("no %d free ports in a row", n)
-	return nil
-}
-
 func get(h *host, id string) (int, error) {
 	c := &http.Client{Timeout: time.Second}
 	defer c.CloseIdleConnections()
@@ -262,14 +242,15 @@
 		for where, nodes := range map[string]int{"local target": 1, "forwarded": 2} {
 			t.Run(name+", "+where, func(t *testing.T) {
 				hosts := startHosts(t, nodes, 1900*time.Millisecond)
+				target := hosts[nodes-1]
 				c := dial(t, hosts[0])
 				write(t, c, head("GET", "/read/x", "a"))
-				hosts[nodes-1].awaitStart(t, "a")
+				target.await(t, &target.began, "a")
 				write(t, c, tail)
 				time.Sleep(50 * time.Millisecond)
 				closeConn(t, c)
 				left := time.Now()
-				if late := hosts[nodes-1].workEnd(t, "a").Sub(left); late > maxWorkAfterDeparture {
+				if late := target.await(t, &target.ended, "a").Sub(left); late > maxWorkAfterDeparture {
 					t.Errorf("target worked for %v after the caller had left", late)
 				}
 			})
@@ -283,7 +264,7 @@
 	h := startHosts(t, 1, 120*time.Millisecond)[0]
 	c := dial(t, h)
 	write(t, c, head("GET", "/read/x", "a"))
-	h.awaitStart(t, "a")
+	h.await(t, &h.began, "a")
 	write(t, c, head("GET", "/read/x", "b")+head("GET", "/read/x", "c"))
 	r := bufio.NewReader(c)
 	for _, id := range []string{"a", "b", "c"} {
