serve: don't fail requests that the other node gave up on its own

The node of the caller knows better. It counts such a reply as a lost response or as an unreachable node now, with the retries and the retry-after of these.

--- a/serve/departed_test.go
+++ b/serve/departed_test.go
@@ -78,3 +78,35 @@
 		}
 	})
 }
+
+// Guards against a request that fails although its caller stays, since the node
+// of the target took the caller for gone: after a silence between the two nodes,
+// or at the end of its own stop.
+func TestOtherNodeTakesCallerForGone(t *testing.T) {
+	for _, c := range []struct {
+		name, route string
+		again       bool // sent once more
+		outcome     proto.Outcome
+		reason      serve.Reason
+	}{
+		{"may be repeated", "look", true, proto.Answered, serve.ReasonAnswered},
+		{"runs once", "pay", false, proto.Unknown, serve.ReasonNoResponse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInSite(t, func(t *testing.T, s *site) {
+				target := s.targets["a1"]
+				target.reply = func(ctx context.Context, req *serve.Request) (serve.Response, error) {
+					if target.count() == 1 {
+						return serve.Response{}, context.Canceled
+					}
+					return ok(ctx, req)
+				}
+				res := s.routers["b1"].Serve(context.Background(), newRequest("1", c.route))
+				assertResult(t, res, c.outcome, c.reason)
+				if again := target.count() == 2; again != c.again {
+					t.Errorf("sent once more is %v, want %v", again, c.again)
+				}
+			})
+		})
+	}
+}
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -105,6 +105,14 @@
 	case err != nil || int(reply.Outcome) >= len(outcomes):
 		return Result{Outcome: proto.Unknown, Reason: ReasonNoResponse, Sends: 1}
 	}
+	if reply.Reason == ReasonCallerGone && !errors.Is(ctx.Err(), context.Canceled) {
+		// The other node was cut off from this one or stops: its target may have run
+		// the request, but the caller still waits.
+		if outcomes[reply.Outcome] == proto.NotRun {
+			return notRun(ReasonPeerUnreachable, unreachableRetryAfter)
+		}
+		reply.Reason = ReasonNoResponse
+	}
 	return Result{
 		Outcome: outcomes[reply.Outcome], Reason: reply.Reason,
 		Response:   Response{Status: reply.Status, Header: reply.Header, Body: reply.Body},
