--- a/hangup/hangup.go
+++ b/hangup/hangup.go
@@ -61,8 +61,8 @@
 }
 
 // Watch returns a context that also ends when the caller of a request is found to
-// have closed its connection. The caller must call the returned function when the
-// request has ended.
+// have closed its connection. The returned function ends the watch and must be
+// called when the request has ended.
 func Watch(ctx context.Context, c clockwork.Clock) (context.Context, context.CancelFunc) {
 	w := &watcher{}
 	w.ctx, w.cancel = context.WithCancel(ctx)
--- a/soak/load.go
+++ b/soak/load.go
@@ -75,8 +75,16 @@
 	r.check.Answer(id, a, err, calm && r.stopsPlanned(m))
 }
 
-// leave sends a request and closes the connection at once or before the answer is
-// due, in some cases after the start of a further request.
+// How callers leave.
+const (
+	leaveAtOnce = iota
+	leaveLater
+	leaveAfterMore // later, and after the start of a further request
+	leaveKinds     // number of the above
+)
+
+// leave sends a request and closes the connection, in most cases before the answer
+// is due.
 func (r *Runner) leave(ctx context.Context, m *Machine, id string, rng *rand.Rand) {
 	req := stand.Request{Method: "GET", Host: host, Path: "/read/x", ID: id, Key: -1, Timeout: patience}
 	switch rng.IntN(4) {
@@ -86,17 +94,17 @@
 		req.Method, req.Path, req.Key = "POST", "/pay/x", key(rng)
 	}
 	stay := time.Duration(rng.IntN(maxStay)) * time.Millisecond
-	how := rng.IntN(3)
+	how := rng.IntN(leaveKinds)
 	conn, err := net.DialTimeout("tcp", m.at(portCaller), patience)
 	if err != nil {
 		return // the node does not run
 	}
 	r.check.Sends(id, req.Method == "GET")
 	_, _ = io.WriteString(conn, req.Text()) // fails if the node ends meanwhile
-	if how > 0 {
+	if how != leaveAtOnce {
 		wait(ctx, stay)
 	}
-	if how > 1 {
+	if how == leaveAfterMore {
 		_, _ = io.WriteString(conn, "GET /re") // as above
 		wait(ctx, stay/2)
 	}
