--- a/soak/main.go
+++ b/soak/main.go
@@ -38,9 +38,9 @@
 	// three nodes lost together wait 25.3 s for their witnesses.
 	startTime  = 20 * time.Second
 	settleTime = 40 * time.Second
-	// calmEnd is how long the load goes on after that: time for callers that leave
-	// while no machine counts as disturbed.
-	calmEnd = contactTime + 3*time.Second
+	// calmEnd is how long the load goes on once no machine counts as disturbed: time
+	// for callers that leave.
+	calmEnd = 6 * time.Second
 	// enough is the share of requests that is to be served then.
 	enough = 0.9
 	// probes is the number of requests for each node by which it is measured.
@@ -176,7 +176,7 @@
 	if !r.awaitServed(ctx, settleTime) {
 		check.Breaks("RECOVER", "less than %.0f%% is served %v after all disturbances", 100*enough, settleTime)
 	}
-	wait(ctx, calmEnd)
+	wait(ctx, time.Until(site.CalmFrom())+calmEnd)
 	endLoad()
 	group.Wait()
 	left, lasting, late := site.left.Check(check, (*Machine).Disturbed)
--- a/soak/site.go
+++ b/soak/site.go
@@ -220,6 +220,22 @@
 	return slices.ContainsFunc(m.disturbed, func(p period) bool { return p.from.Before(to) && from.Before(p.to) })
 }
 
+// CalmFrom returns the moment from which no machine counts as disturbed, or the
+// present.
+func (s *Site) CalmFrom() time.Time {
+	from := time.Now()
+	for _, m := range s.machines {
+		m.mu.Lock()
+		for _, p := range m.disturbed {
+			if p.to.After(from) {
+				from = p.to
+			}
+		}
+		m.mu.Unlock()
+	}
+	return from
+}
+
 // StartNode starts the node, whose log goes on in the same file.
 func (m *Machine) StartNode() error {
 	log, err := os.OpenFile(filepath.Join(m.site.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
