--- a/hangup/hangup_test.go
+++ b/hangup/hangup_test.go
@@ -34,7 +34,7 @@
 		}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			begun, left, got := make(chan struct{}), make(chan struct{}), make(chan bool, 2)
+			begun, left, got := make(chan struct{}, 1), make(chan struct{}), make(chan bool, 2)
 			s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				select {
 				case begun <- struct{}{}:
