fleet: log who relays, failed watches and the age of what a node knows

The logs could not tell the hypotheses on late rules apart: no line named the relay of a node, and a failed watch after a failed call left none. New lines 'relay changed' (3016) and 'watch failed' (3017) with the revision and the age of what the node knows, counted from the last confirmation by the store; replies to reports carry the age of the replying node. 'configuration accepted' names the source of the record. No decision uses any of it yet.

--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -13,9 +13,21 @@
 	"burdocklift/store"
 )
 
+// source is where a node got a record from, as it is logged.
+type source string
+
+const (
+	fromWatch source = "watch"
+	fromList  source = "list"
+	fromRead  source = "read"  // single records
+	fromWrite source = "write" // of this node
+	fromRelay source = "relay"
+	fromCopy  source = "copy" // of what a node of another data centre knows
+)
+
 // applyRecords applies stored records and ignores older revisions. A record that cannot be
 // decoded leaves the last valid one in place.
-func (f *Fleet) applyRecords(items []store.Item) {
+func (f *Fleet) applyRecords(items []store.Item, from source) {
 	var fresh []store.Item
 	for _, it := range items {
 		if old, ok := f.items[it.Key]; ok && old.Rev >= it.Rev {
@@ -30,7 +42,7 @@
 	// Views share the maps, so these are replaced and not changed.
 	f.members, f.ranges = maps.Clone(f.members), maps.Clone(f.ranges)
 	for _, it := range fresh {
-		if err := f.applyRecord(it); err != nil {
+		if err := f.applyRecord(it, from); err != nil {
 			event.RecordInvalid.Log(context.Background(), f.cfg.Log,
 				slog.String("key", it.Key), slog.Uint64("rev", it.Rev), slog.String("error", err.Error()))
 		}
@@ -50,13 +62,13 @@
 			items = append(items, store.Item{Key: key, Rev: rev + 1, Removed: true})
 		}
 	}
-	f.applyRecords(items)
+	f.applyRecords(items, fromList)
 	f.synced = true
 }
 
-func (f *Fleet) applyRecord(it store.Item) error {
+func (f *Fleet) applyRecord(it store.Item, from source) error {
 	if it.Key == f.cfg.RulesKey {
-		f.applyRules(it)
+		f.applyRules(it, from)
 		return nil
 	}
 	if service, ok := strings.CutPrefix(it.Key, prefixRanges); ok {
@@ -101,7 +113,7 @@
 }
 
 // applyRules applies new rules. Invalid, removed or older rules leave those in force.
-func (f *Fleet) applyRules(it store.Item) {
+func (f *Fleet) applyRules(it store.Item, from source) {
 	ctx := context.Background()
 	if it.Removed {
 		event.ConfigurationRefused.Log(ctx, f.cfg.Log, slog.String("error", "rules record was removed"), slog.Uint64("rev", it.Rev))
@@ -116,5 +128,6 @@
 		return
 	}
 	f.rules = set
-	event.ConfigurationAccepted.Log(ctx, f.cfg.Log, slog.Uint64("version", set.Version()), slog.Uint64("rev", it.Rev))
+	event.ConfigurationAccepted.Log(ctx, f.cfg.Log, slog.Uint64("version", set.Version()), slog.Uint64("rev", it.Rev),
+		slog.String("source", string(from)))
 }
--- /dev/null
+++ b/fleet/age.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+)
+
+// freshness tells how old the records are that a node knows. It is owned by the loop.
+type freshness struct {
+	confirmedAt time.Duration // when the store last confirmed that there is no newer record
+	relay       string        // name of the relay, of this node if it watches the store, or empty
+}
+
+// age returns the time since the store last confirmed what this node knows.
+func (fr *freshness) age(now time.Duration) time.Duration { return now - fr.confirmedAt }
+
+// confirm records that nothing was newer than what this node knows at a time.
+func (fr *freshness) confirm(at time.Duration) { fr.confirmedAt = max(fr.confirmedAt, at) }
+
+// confirmThrough records the age of what another node knows, if this node knows as much.
+func (f *Fleet) confirmThrough(rev uint64, age, now time.Duration) {
+	if f.knownRev >= rev {
+		f.freshness.confirm(now - age)
+	}
+}
+
+// noteRelay logs a change of the relay, which is given by its address.
+func (f *Fleet) noteRelay(ctx context.Context, address string, now time.Duration) {
+	relay := ""
+	if f.relays.Load() {
+		relay = f.cfg.Name
+	}
+	for name, m := range f.members {
+		if address != "" && m.Address == address && !m.Revoked {
+			relay = name
+		}
+	}
+	if relay == f.freshness.relay {
+		return
+	}
+	eventRelayChanged.Log(ctx, f.cfg.Log, slog.String("relay", relay), slog.String("earlier", f.freshness.relay),
+		slog.Uint64("rev", f.knownRev), slog.Int64("age_ms", f.freshness.age(now).Milliseconds()))
+	f.freshness.relay = relay
+}
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -41,7 +41,7 @@
 		cancel()
 		if err == nil {
 			// An error means that the loop has ended.
-			_ = f.post(ctx, func(time.Duration) { f.applyChanges(r.Items, r.Rev) })
+			_ = f.post(ctx, func(time.Duration) { f.applyChanges(r.Items, r.Rev, fromCopy) })
 			return
 		}
 	}
--- a/fleet/end_test.go
+++ b/fleet/end_test.go
@@ -32,13 +32,13 @@
 				})
 				m := Member{Name: "n", Address: "n", Run: f.run, Lease: 7}
 				f.grantRight.lease = m.Lease
-				f.applyRecords([]store.Item{{Key: prefixMember + "n", Value: encodeMember(m), Rev: 8}})
+				f.applyRecords([]store.Item{{Key: prefixMember + "n", Value: encodeMember(m), Rev: 8}}, fromRead)
 				if f.run != m.Run || f.grantRight.lease != m.Lease {
 					t.Errorf("run is %d, lease %d, want %d and %d", f.run, f.grantRight.lease, m.Run, m.Lease)
 				}
 				it := change(m)
 				it.Key = prefixMember + "n"
-				f.applyRecords([]store.Item{it})
+				f.applyRecords([]store.Item{it}, fromRead)
 				if f.run == m.Run || f.grantRight.lease != 0 {
 					t.Errorf("run is still %d or lease not zero: %d", f.run, f.grantRight.lease)
 				}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -54,6 +54,13 @@
 	eventReleaseNotTold = event.Define(3014, "release not told", slog.LevelInfo,
 		"The planning node did not accept a report of released keys, so that this node records the release itself.",
 		"None unless it persists; then check the planning node.")
+	eventRelayChanged = event.Define(3016, "relay changed", slog.LevelInfo,
+		"The node gets changes of the stored records from another relay, or began or ceased to watch the store as a relay itself. An "+
+			"empty relay is none. The age is the time since the store last confirmed, to this node or its relay, that there is no newer record.",
+		"None. If the age is over 2 s, look for the nodes that the store does not answer.")
+	eventWatchFailed = event.Define(3017, "watch failed", slog.LevelInfo,
+		"The store did not answer a call for changes. The revision and the age are those of what the node knows.",
+		"Restore the store or the network path to it.")
 	eventLoadCompared = event.Define(3015, "load compared", slog.LevelInfo,
 		"The planning node compared the targets of a service, and moved keys from busy to idle ones if moved is true. A ratio "+
 			"of 1 is the mean of load over capacity.",
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -74,7 +74,8 @@
 	items          map[string]store.Item // stored records of this system, by key
 	synced         bool                  // all records were read at least once
 	rules          *rules.Set
-	knownRev       uint64        // revision up to which all records are known
+	knownRev       uint64 // revision up to which all records are known
+	freshness      freshness
 	relayHeardAt   time.Duration // last contact with the relay
 	changesPending bool          // other nodes may lack records
 	relayDueAt     time.Duration // when collected changes are passed on next
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"slices"
 	"strings"
 	"time"
@@ -69,6 +70,7 @@
 		if ctx.Err() == nil {
 			f.watchFailures.Add(1)
 			f.lastWatchFailure.Store(int64(f.cfg.Clock.Elapsed()))
+			f.logWatchFailure(ctx, err)
 			f.noteStoreState(ctx, err)
 			f.copyUntilRetry(ctx)
 		}
@@ -103,6 +105,7 @@
 func (f *Fleet) reload(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, reloadTimeout)
 	defer cancel()
+	sent := f.cfg.Clock.Elapsed()
 	items, rev, err := f.cfg.Store.ReadAll(callCtx, "")
 	if err != nil {
 		return err
@@ -111,6 +114,7 @@
 	return f.post(ctx, func(time.Duration) {
 		f.applyListing(f.ownRecords(items), rev)
 		f.knownRev = max(f.knownRev, rev)
+		f.freshness.confirm(sent)
 		f.changesPending = true
 		f.planner.reloaded = f.planner.leads.Load()
 	})
@@ -131,7 +135,10 @@
 	if err != nil {
 		return err
 	}
-	err = f.post(ctx, func(time.Duration) { f.applyChanges(f.ownRecords(items), next) })
+	err = f.post(ctx, func(now time.Duration) {
+		f.applyChanges(f.ownRecords(items), next, fromWatch)
+		f.freshness.confirm(now)
+	})
 	switch {
 	case len(items) == 0:
 	case f.planner.leads.Load() || f.firstInDataCentre():
@@ -142,6 +149,14 @@
 	return err
 }
 
+func (f *Fleet) logWatchFailure(ctx context.Context, err error) {
+	// An error means that the loop has ended.
+	_ = f.post(ctx, func(now time.Duration) {
+		eventWatchFailed.Log(ctx, f.cfg.Log, slog.Uint64("rev", f.knownRev), slog.Int64("age_ms", f.freshness.age(now).Milliseconds()),
+			slog.Int("failures", int(f.watchFailures.Load())), slog.String("error", err.Error()))
+	})
+}
+
 // firstInDataCentre reports whether this node is the first of its data centre.
 func (f *Fleet) firstInDataCentre() bool {
 	v := f.View()
@@ -153,8 +168,8 @@
 }
 
 // applyChanges applies the records that changed up to a revision.
-func (f *Fleet) applyChanges(items []store.Item, rev uint64) {
-	f.applyRecords(items)
+func (f *Fleet) applyChanges(items []store.Item, rev uint64, from source) {
+	f.applyRecords(items, from)
 	f.knownRev = max(f.knownRev, rev)
 	f.changesPending = true
 }
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -133,7 +133,7 @@
 	}
 	var reply reportReply
 	err := f.post(ctx, func(now time.Duration) {
-		f.applyRecords(items)
+		f.applyRecords(items, fromRelay)
 		if n.After <= f.knownRev {
 			f.knownRev = max(f.knownRev, n.Rev)
 		}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -55,8 +55,11 @@
 	// could do so passes nothing on.
 	Relays bool   `cbor:"4,keyasint,omitempty"`
 	Rev    uint64 `cbor:"3,keyasint,omitempty"` // up to which the node knows all records
+	AgeMs  int64  `cbor:"6,keyasint,omitempty"` // since the store last confirmed that there is no newer record
 }
 
+func (r reportReply) age() time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
+
 // sendReports reports to the planning node once in an interval. The planning node is the
 // first node by name that answers and is served by the store.
 func (f *Fleet) sendReports(ctx context.Context) error {
@@ -95,6 +98,8 @@
 			_ = f.post(ctx, func(time.Duration) { clear(f.peerRevs) }) // filled again by reports of the other nodes
 		}
 		f.relays.Store(other == "")
+		// An error means that the loop has ended.
+		_ = f.post(ctx, func(now time.Duration) { f.noteRelay(ctx, other, now) })
 	}
 }
 
@@ -129,7 +134,10 @@
 		if err == nil && wanted(reply) {
 			delete(unreachable, name)
 			// An error means that the loop has ended.
-			_ = f.post(ctx, func(now time.Duration) { f.relayHeardAt = now })
+			_ = f.post(ctx, func(now time.Duration) {
+				f.relayHeardAt = now
+				f.confirmThrough(reply.Rev, reply.age(), now)
+			})
 			return false, v.members[name].Address
 		}
 		if err == nil {
@@ -171,7 +179,7 @@
 		f.planner.receiveReport(r, now)
 		f.peerRevs[r.Name] = r.Rev
 		f.changesPending = f.changesPending || r.Rev < f.knownRev
-		reply.Rev = f.knownRev
+		reply.Rev, reply.AgeMs = f.knownRev, f.freshness.age(now).Milliseconds()
 	})
 	if err != nil {
 		return nil, err
--- a/fleet/settle.go
+++ b/fleet/settle.go
@@ -208,7 +208,7 @@
 		return 0, err
 	}
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(time.Duration) { f.applyRecords([]store.Item{it}) })
+	_ = f.post(ctx, func(time.Duration) { f.applyRecords([]store.Item{it}, fromRead) })
 	m, err := decodeMember(it.Key, it.Value)
 	if err != nil {
 		return 0, err
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -108,7 +108,7 @@
 		f.writer.nextAttempt = now + f.writer.backoff
 		f.retryTimer.Reset(f.writer.backoff)
 		eventWriteFailed.Log(ctx, f.cfg.Log, slog.String("reason", reason), slog.String("error", err.Error()))
-		f.applyRecords(current)
+		f.applyRecords(current, fromRead)
 		return
 	}
 	f.writer.backoff = 0
@@ -119,7 +119,7 @@
 	for _, key := range txn.Deletes {
 		items = append(items, store.Item{Key: key, Rev: rev, Removed: true})
 	}
-	f.applyRecords(items)
+	f.applyRecords(items, fromWrite)
 	f.changesPending = true
 	eventRangesWritten.Log(ctx, f.cfg.Log, slog.String("reason", reason), slog.Uint64("rev", rev))
 }
