fleet: choose relays by whether the store answers them

On a site where the store left half of the nodes without an answer, callers were refused by rules that had been replaced 3 s before, on all nodes of all data centres.

Cause: a node learned that the store does not answer it only from its own watch, which only a relay has. Class: a role is given and kept by liveness, without evidence for what the role is for.

Change: store.Health records the results of all direct calls, renewals included, which every node makes each 0.8 s. A node relays only while the store answers it and what it knows is recent; when the store fails it, it hands the role over at once, to a node whose report says that the store answers it. Where the store answers no node of a data centre, one node copies for all instead of each for itself. A node that the store answers asks for changes itself once its knowledge is 1.8 s old. A read through another node no longer counts as an answer of the store.

The stand-in of the store answered watches that were waiting when it fell silent; it no longer does.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -80,7 +80,7 @@
 	ledger := relay.New(direct, peers, c)
 	a.fleet = fleet.New(fleet.Config{
 		Name: s.Name, Address: s.Addresses.Peer(), DataCentre: s.DataCentre, Region: s.Region,
-		Store: ledger, Peers: peers, Clock: c, Log: log,
+		Store: ledger, Health: ledger.Health(), Peers: peers, Clock: c, Log: log,
 		RulesKey: platform.RulesKey, Rules: platform.DecodeRules,
 	})
 	ledger.SetRelays(a.fleet.PeerAddresses)
--- a/emul/ledger.go
+++ b/emul/ledger.go
@@ -182,6 +182,10 @@
 		select {
 		case <-changed:
 		case <-end.C:
+			if down {
+				<-ctx.Done() // a call that waits when the fault begins is not answered either
+				return nil, after, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
+			}
 			return nil, after, nil
 		case <-ctx.Done():
 			return nil, after, fmt.Errorf("%w: %w", store.ErrUnavailable, ctx.Err())
--- a/fleet/age.go
+++ b/fleet/age.go
@@ -25,17 +25,8 @@
 	}
 }
 
-// noteRelay logs a change of the relay, which is given by its address.
-func (f *Fleet) noteRelay(ctx context.Context, address string, now time.Duration) {
-	relay := ""
-	if f.relays.Load() {
-		relay = f.cfg.Name
-	}
-	for name, m := range f.members {
-		if address != "" && m.Address == address && !m.Revoked {
-			relay = name
-		}
-	}
+// noteRelay logs a change of the relay.
+func (f *Fleet) noteRelay(ctx context.Context, relay string, now time.Duration) {
 	if relay == f.freshness.relay {
 		return
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -35,9 +35,12 @@
 	DataCentre string
 	Region     string
 	Store      store.Ledger
-	Peers      *peer.Transport
-	Clock      clock.Clock
-	Log        *slog.Logger
+	// Health tells whether the store answers this node itself. Without it the store counts
+	// as answering.
+	Health *store.Health
+	Peers  *peer.Transport
+	Clock  clock.Clock
+	Log    *slog.Logger
 	// RulesKey is the store key of the operators' rules, which Rules decodes.
 	RulesKey string
 	Rules    func(b []byte) (*rules.Set, error)
@@ -53,11 +56,13 @@
 
 	retryTimer clockwork.Timer // for a failed write; owned by the loop
 
-	storeLost        atomic.Bool  // state that was last logged
-	relays           atomic.Bool  // this node watches the store for its data centre
-	mustReload       atomic.Bool  // all records have to be read from the store
-	watchFailures    atomic.Int32 // consecutive watches that the store did not serve
-	lastWatchFailure atomic.Int64 // time.Duration on the clock at the last failure
+	storeLost        atomic.Bool   // state that was last logged
+	relays           atomic.Bool   // this node watches the store for its data centre
+	roleChanged      chan struct{} // this node has become the relay
+	resigned         chan struct{} // another relay has resigned
+	mustReload       atomic.Bool   // all records have to be read from the store
+	watchFailures    atomic.Int32  // consecutive watches that the store did not serve
+	lastWatchFailure atomic.Int64  // time.Duration on the clock at the last failure
 
 	copyCursor int // selects the node to copy records from; owned by follow
 
@@ -76,6 +81,7 @@
 	rules          *rules.Set
 	knownRev       uint64 // revision up to which all records are known
 	freshness      freshness
+	election       election
 	relayHeardAt   time.Duration // last contact with the relay
 	changesPending bool          // other nodes may lack records
 	relayDueAt     time.Duration // when collected changes are passed on next
@@ -101,6 +107,9 @@
 
 // New returns a fleet that has not read any records yet.
 func New(cfg Config) *Fleet {
+	if cfg.Health == nil {
+		cfg.Health = &store.Health{}
+	}
 	now := cfg.Clock.Elapsed()
 	f := &Fleet{
 		cfg: cfg, steps: make(chan func(time.Duration)), done: make(chan struct{}),
@@ -108,6 +117,7 @@
 		members: make(map[string]Member), ranges: make(map[string]span.Map),
 		peerRevs: make(map[string]uint64), relaying: make(map[string]bool), rangeChanges: make(map[string]*rangeChange),
 		relayHeardAt: now, startedAt: now, departures: make(map[string]departure),
+		roleChanged: make(chan struct{}, 1), resigned: make(chan struct{}, 1),
 	}
 	f.mustReload.Store(true)
 	// The target may hold keys that an earlier run of this node granted.
@@ -115,9 +125,11 @@
 	f.releases.unsent = make(map[string][]span.Release)
 	f.releases.fromPeers = make(map[string][]peerRelease)
 	f.revoker.revocations = make(map[string]*revocation)
+	f.election.candidates = make(map[string]time.Duration)
 	f.planner.init(now)
 	f.publish()
 	cfg.Peers.Handle(MethodReport, f.handleReport)
+	cfg.Peers.Handle(MethodResign, f.handleResign)
 	cfg.Peers.Handle(MethodChanges, f.handleChanges)
 	cfg.Peers.Handle(MethodCopy, f.handleCopy)
 	cfg.Peers.Handle(MethodReleases, f.handleReleases)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -18,11 +18,17 @@
 
 // onSite runs a test on a site whose keys are all assigned and held.
 func onSite(t *testing.T, test func(w *site)) {
+	t.Helper()
+	onHosts(t, hosts, test)
+}
+
+// onHosts is onSite with other hosts. The first letter of a name is the data centre.
+func onHosts(t *testing.T, names []string, test func(w *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		w := newSite(ctx, t, hosts)
+		w := newSite(ctx, t, names)
 		defer w.stop()
 		time.Sleep(6 * time.Second)
 		assertAllHeld(t, w)
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -24,7 +24,7 @@
 	// 1,000 calls in an outage of 9 s.
 	storeRetryInterval = 2 * time.Second
 	// retryWatchWait replaces watchWait after a failed call, as the node copies records
-	// from other nodes between calls.
+	// from other nodes between calls, and while the node's knowledge is old.
 	retryWatchWait = 100 * time.Millisecond
 	// changeBatchDelay is the wait between a call that returned changes and the next one,
 	// so that changes in quick succession arrive together. At the start of 87 nodes, each
@@ -39,7 +39,10 @@
 	// relaySilenceTimeout is the silence of the relay after which a node reads the records
 	// from the store itself.
 	relaySilenceTimeout = 2500 * time.Millisecond
-	// relayCheckInterval is the interval at which that silence is checked.
+	// maxAge is the age of its knowledge at which a node that the store answers asks the
+	// store for changes itself. Behind a sound relay it is at most 1.5 s.
+	maxAge = 1800 * time.Millisecond
+	// relayCheckInterval is the interval at which silence and age are checked.
 	relayCheckInterval = 100 * time.Millisecond
 )
 
@@ -52,15 +55,17 @@
 		switch {
 		case f.mustReload.Load():
 			err = f.reload(ctx)
-		case f.planner.leads.Load() || f.relays.Load():
+		case f.watches():
 			err = f.watch(ctx)
 		default:
-			f.sleep(ctx, relayCheckInterval)
+			f.awaitRole(ctx, relayCheckInterval)
 			f.checkRelay(ctx)
-			continue
+			if !f.isOverdue(ctx) {
+				continue
+			}
+			err = f.watch(ctx)
 		}
 		if err == nil {
-			f.watchFailures.Store(0)
 			continue
 		}
 		if errors.Is(err, store.ErrCompacted) {
@@ -78,11 +83,34 @@
 	return nil
 }
 
+// watches reports whether this node watches the store all the time.
+func (f *Fleet) watches() bool { return f.planner.leads.Load() || f.relays.Load() }
+
+// awaitRole sleeps until this node becomes the relay.
+func (f *Fleet) awaitRole(ctx context.Context, d time.Duration) {
+	t := f.cfg.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-f.roleChanged:
+	case <-ctx.Done():
+	}
+}
+
+// isOverdue reports whether the store can tell this node what its relay has not.
+func (f *Fleet) isOverdue(ctx context.Context) bool {
+	overdue := false
+	// An error means that the loop has ended.
+	_ = f.post(ctx, func(now time.Duration) { overdue = f.freshness.age(now) > maxAge && f.mayRelay(now) })
+	return overdue
+}
+
 // copyUntilRetry copies records from other nodes until it is time to call the store again
-// or the store serves this node.
+// or the store serves this node. A node that is neither the relay nor the planning node gets
+// them from its relay.
 func (f *Fleet) copyUntilRetry(ctx context.Context) {
 	until := f.cfg.Clock.Elapsed() + storeRetryInterval
-	for {
+	for f.watches() {
 		f.copyRecords(ctx)
 		f.sleep(ctx, copyInterval)
 		if ctx.Err() != nil || !f.storeLost.Load() || f.cfg.Clock.Elapsed() >= until {
@@ -122,12 +150,15 @@
 
 func (f *Fleet) watch(ctx context.Context) error {
 	after := uint64(0)
-	if err := f.post(ctx, func(time.Duration) { after = f.knownRev }); err != nil {
-		return err
-	}
 	wait := watchWait
-	if f.watchFailures.Load() > 0 {
-		wait = retryWatchWait
+	err := f.post(ctx, func(now time.Duration) {
+		after = f.knownRev
+		if f.watchFailures.Load() > 0 || f.freshness.age(now) > maxRelayAge {
+			wait = retryWatchWait
+		}
+	})
+	if err != nil {
+		return err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
@@ -135,6 +166,7 @@
 	if err != nil {
 		return err
 	}
+	f.watchFailures.Store(0)
 	err = f.post(ctx, func(now time.Duration) {
 		f.applyChanges(f.ownRecords(items), next, fromWatch)
 		f.freshness.confirm(now)
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -32,6 +32,7 @@
 	Rev   uint64       `cbor:"2,keyasint"`
 	Items []store.Item `cbor:"3,keyasint,omitempty"`
 	Large []string     `cbor:"4,keyasint,omitempty"` // keys to be read from the store
+	AgeMs int64        `cbor:"5,keyasint,omitempty"` // since the store last confirmed that there is no newer record
 }
 
 // rangeChange is the revision at which the ranges of a service last changed for a node.
@@ -60,8 +61,8 @@
 
 // changesFor returns the changes that a node lacks which knows all records up to a
 // revision.
-func (f *Fleet) changesFor(node string, after uint64) (changeSet, bool) {
-	n := changeSet{After: after, Rev: f.knownRev}
+func (f *Fleet) changesFor(node string, after uint64, now time.Duration) (changeSet, bool) {
+	n := changeSet{After: after, Rev: f.knownRev, AgeMs: f.freshness.age(now).Milliseconds()}
 	for key, it := range f.items {
 		if it.Rev <= after {
 			continue
@@ -89,7 +90,7 @@
 		if !ok || m.DataCentre != f.cfg.DataCentre || name == f.cfg.Name || f.relaying[name] || !f.cfg.Peers.Reachable(m.Address) {
 			continue
 		}
-		n, some := f.changesFor(name, after)
+		n, some := f.changesFor(name, after, f.cfg.Clock.Elapsed())
 		if !some {
 			continue
 		}
@@ -137,6 +138,7 @@
 		if n.After <= f.knownRev {
 			f.knownRev = max(f.knownRev, n.Rev)
 		}
+		f.confirmThrough(n.Rev, time.Duration(n.AgeMs)*time.Millisecond, now)
 		f.relayHeardAt = now
 		reply.Rev = f.knownRev
 	})
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -21,11 +21,6 @@
 	// reportTimeout bounds a report, after which the next node by name is tried as the
 	// planning node.
 	reportTimeout = 500 * time.Millisecond
-	// relayReportInterval and relayReportTimeout apply to reports to the relay, which is
-	// in the same data centre and 0.2 ms away. After the loss of a relay its successor has
-	// to pass changes on within 1 s, as rules are due within 2 s.
-	relayReportInterval = 500 * time.Millisecond
-	relayReportTimeout  = 350 * time.Millisecond
 	// unreachableBackoff is how long a node that did not answer is skipped in the search
 	// for the planning node or the relay.
 	unreachableBackoff = time.Second
@@ -33,6 +28,7 @@
 
 var (
 	errAlive         = errors.New("node answers and will release its keys")
+	errUnreachable   = errors.New("node did not answer a short time ago")
 	errAddressReused = errors.New("address is in use by another node")
 )
 
@@ -44,6 +40,7 @@
 	Incarnation    span.Incarnation `cbor:"4,keyasint,omitzero"`  // of the target beside the sender
 	Answered       int              `cbor:"5,keyasint,omitempty"` // requests that the target answered since the last report
 	ServiceSeconds float64          `cbor:"6,keyasint,omitempty"` // seconds that the target spent on them
+	MayRelay       bool             `cbor:"8,keyasint,omitempty"` // the store answers the sender reliably
 }
 
 type reportReply struct {
@@ -51,8 +48,8 @@
 	// again.
 	Name  string `cbor:"5,keyasint"`
 	Leads bool   `cbor:"2,keyasint,omitempty"` // the store serves the node, so that it can be the planning node
-	// Relays is true if the node watches the store and passes changes on. A node that only
-	// could do so passes nothing on.
+	// Relays is true if the node watches the store, which answers it, and passes changes
+	// on. A node that only could do so passes nothing on.
 	Relays bool   `cbor:"4,keyasint,omitempty"`
 	Rev    uint64 `cbor:"3,keyasint,omitempty"` // up to which the node knows all records
 	AgeMs  int64  `cbor:"6,keyasint,omitempty"` // since the store last confirmed that there is no newer record
@@ -69,8 +66,8 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		leads, leader := f.reportToFirst(ctx, unreachable, f.takeReport(ctx, true), reportTimeout,
-			func(Member) bool { return true }, func(r reportReply) bool { return r.Leads })
+		leads, leader := f.reportToFirst(ctx, unreachable, f.takeReport(ctx, true),
+			func(r reportReply) bool { return r.Leads })
 		// An error means that the loop has ended.
 		_ = f.post(ctx, func(now time.Duration) {
 			if f.planner.setLeads(leads, unreachable, now) {
@@ -81,37 +78,14 @@
 	}
 }
 
-// electRelay reports to the relay of the data centre once in an interval. A node that
-// finds no relay becomes the relay and watches the store itself.
-func (f *Fleet) electRelay(ctx context.Context) error {
-	unreachable := make(map[string]time.Duration)
-	for {
-		f.sleep(ctx, relayReportInterval)
-		if ctx.Err() != nil {
-			return nil
-		}
-		here := func(m Member) bool { return m.DataCentre == f.cfg.DataCentre }
-		_, other := f.reportToFirst(ctx, unreachable, f.takeReport(ctx, false), relayReportTimeout,
-			here, func(r reportReply) bool { return r.Leads && r.Relays })
-		if other == "" && !f.relays.Swap(true) {
-			// An error means that the loop has ended.
-			_ = f.post(ctx, func(time.Duration) { clear(f.peerRevs) }) // filled again by reports of the other nodes
-		}
-		f.relays.Store(other == "")
-		// An error means that the loop has ended.
-		_ = f.post(ctx, func(now time.Duration) { f.noteRelay(ctx, other, now) })
-	}
-}
-
 // reportToFirst sends a report to the first of some nodes that answers as wanted. It
 // returns whether that is this node itself, or the address of another one.
 func (f *Fleet) reportToFirst(
-	ctx context.Context, unreachable map[string]time.Duration, r Report, timeout time.Duration,
-	among func(Member) bool, wanted func(reportReply) bool,
+	ctx context.Context, unreachable map[string]time.Duration, r Report, wanted func(reportReply) bool,
 ) (self bool, other string) {
 	v := f.View()
 	for _, name := range v.order {
-		if v.members[name].Revoked || !among(v.members[name]) {
+		if v.members[name].Revoked {
 			continue
 		}
 		if name == f.cfg.Name {
@@ -122,32 +96,42 @@
 			_ = f.post(ctx, func(now time.Duration) { f.planner.receiveReport(r, now) })
 			return true, ""
 		}
-		if until, ok := unreachable[name]; ok && f.cfg.Clock.Elapsed() < until {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		reply, err := peer.Call[reportReply](callCtx, f.cfg.Peers, v.members[name].Address, MethodReport, r)
-		cancel()
-		if err == nil && reply.Name != name {
-			err = errAddressReused
-		}
+		reply, err := f.report(ctx, v.members[name], r, reportTimeout, unreachable)
 		if err == nil && wanted(reply) {
-			delete(unreachable, name)
-			// An error means that the loop has ended.
-			_ = f.post(ctx, func(now time.Duration) {
-				f.relayHeardAt = now
-				f.confirmThrough(reply.Rev, reply.age(), now)
-			})
 			return false, v.members[name].Address
 		}
-		if err == nil {
-			continue
-		}
-		unreachable[name] = f.cfg.Clock.Elapsed() + unreachableBackoff
 	}
 	return false, ""
 }
 
+// report sends a report to a node, unless that did not answer a short time ago.
+func (f *Fleet) report(
+	ctx context.Context, m Member, r Report, timeout time.Duration, unreachable map[string]time.Duration,
+) (reportReply, error) {
+	if until, ok := unreachable[m.Name]; ok && f.cfg.Clock.Elapsed() < until {
+		return reportReply{}, errUnreachable
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := peer.Call[reportReply](callCtx, f.cfg.Peers, m.Address, MethodReport, r)
+	if err == nil && reply.Name != m.Name {
+		err = errAddressReused
+	}
+	if err != nil {
+		unreachable[m.Name] = f.cfg.Clock.Elapsed() + unreachableBackoff
+		return reportReply{}, err
+	}
+	delete(unreachable, m.Name)
+	// An error means that the loop has ended.
+	_ = f.post(ctx, func(now time.Duration) {
+		if reply.Leads || reply.Relays {
+			f.relayHeardAt = now
+		}
+		f.confirmThrough(reply.Rev, reply.age(), now)
+	})
+	return reply, nil
+}
+
 // maxWatchFailures is how many consecutive calls to the store may fail before a node
 // leaves planning and relaying to nodes that the store may still serve.
 const maxWatchFailures = 2
@@ -174,10 +158,14 @@
 	if err := cbor.Unmarshal(body, &r); err != nil {
 		return nil, err
 	}
-	reply := reportReply{Name: f.cfg.Name, Leads: f.canLead(), Relays: f.relays.Load()}
+	reply := reportReply{Name: f.cfg.Name, Leads: f.canLead()}
 	err := f.post(ctx, func(now time.Duration) {
 		f.planner.receiveReport(r, now)
 		f.peerRevs[r.Name] = r.Rev
+		reply.Relays = f.relaysReliably(now)
+		if delete(f.election.candidates, r.Name); r.MayRelay && f.members[r.Name].DataCentre == f.cfg.DataCentre {
+			f.election.candidates[r.Name] = now
+		}
 		f.changesPending = f.changesPending || r.Rev < f.knownRev
 		reply.Rev, reply.AgeMs = f.knownRev, f.freshness.age(now).Milliseconds()
 	})
@@ -208,7 +196,7 @@
 // takeReport returns the next report, if wanted with the load since the last one that had
 // it.
 func (f *Fleet) takeReport(ctx context.Context, withLoad bool) Report {
-	r := Report{Name: f.cfg.Name}
+	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed())}
 	// An error means that the loop has ended.
 	_ = f.post(ctx, func(time.Duration) { r.Rev = f.knownRev })
 	if !withLoad {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -80,7 +80,7 @@
 	peers.SetDialer(w.net.Dialer(address))
 	ledger := relay.New(w.ledger.Client(name), peers, w.clock)
 	f := fleet.New(fleet.Config{
-		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: "region", Store: ledger, Peers: peers,
+		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: "region", Store: ledger, Health: ledger.Health(), Peers: peers,
 		Clock: w.clock, Log: slog.New(slog.DiscardHandler), RulesKey: "rules", Rules: decodeRules,
 	})
 	ledger.SetRelays(f.PeerAddresses)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,8 +65,9 @@
 // Ledger calls the store directly or, while that fails, through other nodes.
 type Ledger struct {
 	store.Ledger
-	peers *peer.Transport
-	clock clock.Clock
+	peers  *peer.Transport
+	clock  clock.Clock
+	health store.Health // of direct calls
 
 	mu              sync.Mutex
 	relays          func() []string // addresses of nodes that may be asked
@@ -90,6 +91,16 @@
 	l.relays = f
 }
 
+// Health returns whether the store answers this node itself.
+func (l *Ledger) Health() *store.Health { return &l.health }
+
+// Changes implements store.Ledger. It is not relayed: other nodes copy what a node lacks.
+func (l *Ledger) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Item, uint64, error) {
+	items, rev, err := l.Ledger.Changes(ctx, prefix, after, wait)
+	l.health.Record(err, l.clock.Elapsed())
+	return items, rev, err
+}
+
 // Read implements store.Ledger.
 func (l *Ledger) Read(ctx context.Context, key string) (store.Item, error) {
 	r, err := l.do(ctx, request{Op: opRead, Key: key})
@@ -186,8 +197,9 @@
 	case opEndLease:
 		err = l.Ledger.EndLease(ctx, req.Lease)
 	default:
-		err = fmt.Errorf("%w: unknown store operation %d", store.ErrUnavailable, req.Op)
+		return r, fmt.Errorf("%w: unknown store operation %d", store.ErrUnavailable, req.Op)
 	}
+	l.health.Record(err, l.clock.Elapsed())
 	return r, err
 }
 
