fleet: copy records from nodes whose knowledge is recent

A node that the store does not answer, in a data centre without a relay, asked one node of another data centre at a time, 0.4 s apart, and took what it got for new, although the store may not answer that data centre either. Replies now carry the age of what the other node knows; up to four nodes are asked for one copy until one has recent knowledge, and that one is asked first the next time.

Test: fleet.TestRulesWhereStoreAnswersOneDataCentre, nine data centres of which the store answers one; before, nodes had rules later than 2 s after the change.

--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -14,8 +14,12 @@
 // another node.
 const MethodCopy peer.Method = 7
 
-// copyInterval is the time between two copies. Rules are due within 2 s.
-const copyInterval = 400 * time.Millisecond
+const (
+	// copyInterval is the time between two copies. Rules are due within 2 s.
+	copyInterval = 400 * time.Millisecond
+	// maxCopies bounds how many nodes are asked for one copy.
+	maxCopies = 4
+)
 
 type copyRequest struct {
 	After uint64 `cbor:"1,keyasint"` // revision up to which the caller knows all records
@@ -23,27 +27,35 @@
 
 type copyReply struct {
 	Items []store.Item `cbor:"1,keyasint,omitempty"`
-	Rev   uint64       `cbor:"2,keyasint"` // up to which Items has all newer records
+	Rev   uint64       `cbor:"2,keyasint"`           // up to which Items has all newer records
+	AgeMs int64        `cbor:"3,keyasint,omitempty"` // since the store last confirmed that there is no newer record
 }
 
-// copyRecords copies newer records from one of the nodes that watch the store for other
-// data centres. It tries two of them.
+// copyRecords copies newer records from nodes of other data centres, until one of them
+// knows what the store had to tell a short time ago. The store may fail their relays as
+// well. The node that was asked last is the first one that is asked next time.
 func (f *Fleet) copyRecords(ctx context.Context) {
-	after := uint64(0)
-	// An error means that the loop has ended.
-	_ = f.post(ctx, func(time.Duration) { after = f.knownRev })
 	others := f.otherRelays()
-	for i := range min(2, len(others)) {
-		f.copyCursor++
-		address := others[(f.copyCursor+i)%len(others)]
+	for range min(maxCopies, len(others)) {
+		after := uint64(0)
+		// An error means that the loop has ended.
+		_ = f.post(ctx, func(time.Duration) { after = f.knownRev })
+		address := others[f.copyCursor%len(others)]
 		callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
 		r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, copyRequest{After: after})
 		cancel()
 		if err == nil {
+			age := time.Duration(r.AgeMs) * time.Millisecond
 			// An error means that the loop has ended.
-			_ = f.post(ctx, func(time.Duration) { f.applyChanges(r.Items, r.Rev, fromCopy) })
-			return
+			_ = f.post(ctx, func(now time.Duration) {
+				f.applyChanges(r.Items, r.Rev, fromCopy)
+				f.confirmThrough(r.Rev, age, now)
+			})
+			if age <= maxRelayAge+relayReportInterval {
+				return
+			}
 		}
+		f.copyCursor++
 	}
 }
 
@@ -71,8 +83,8 @@
 		return nil, err
 	}
 	var r copyReply
-	err := f.post(ctx, func(time.Duration) {
-		r.Rev = f.knownRev
+	err := f.post(ctx, func(now time.Duration) {
+		r.Rev, r.AgeMs = f.knownRev, f.freshness.age(now).Milliseconds()
 		for _, it := range f.items {
 			if it.Rev > c.After {
 				r.Items = append(r.Items, it)
--- a/fleet/rules_test.go
+++ b/fleet/rules_test.go
@@ -77,3 +77,25 @@
 		})
 	}
 }
+
+// Guards against nodes that copy records from data centres that know no more than they do.
+func TestRulesWhereStoreAnswersOneDataCentre(t *testing.T) {
+	var names []string
+	silent := make(map[string]bool)
+	for dc := range 9 {
+		for i := range 2 {
+			name := fmt.Sprintf("%c%d", 'a'+dc, i+1)
+			names = append(names, name)
+			silent[name] = dc != 4
+		}
+	}
+	onHosts(t, names, func(w *site) {
+		w.setFaults(func(f *emul.LedgerFaults) { f.Silent = silent })
+		time.Sleep(3 * time.Second)
+		for version := byte(2); version < 8; version++ {
+			w.ledger.Put("rules", []byte{version})
+			assertRulesWithin(t, w, uint64(version), 2*time.Second)
+			time.Sleep(330 * time.Millisecond)
+		}
+	})
+}
