relay: don't wait for nodes that the store fails as well

While the store left half of the nodes without an answer, renewals of nodes that had no answer failed again and again although most other nodes were served: 'store lost' was logged 139 times in 8 s.

Cause: a node that was asked to call the store waited 0.5 s for it even if its own calls had just failed, longer than a renewal may take, and the node that asked began with the same one the next time.

Change: such a node refuses at once; the next one is asked first after no reply. While the store fails a node, its calls go through others first, and a renewal tries the store and, after 0.1 s, other nodes at the same time, so that it also shows when the store answers again. That replaces the fixed second for which other nodes went first.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,9 +24,9 @@
 	// directTimeout bounds a direct call to the store, after which other nodes
 	// may be asked. The store answers in 4 ms, at worst in 0.4 s.
 	directTimeout = 500 * time.Millisecond
-	// relayFirstTime is how long a node asks others first after a direct call
-	// failed.
-	relayFirstTime = time.Second
+	// renewalHedgeDelay is how long a renewal waits for a store that failed this node
+	// before other nodes are asked as well.
+	renewalHedgeDelay = 100 * time.Millisecond
 	// maxRelays bounds how many nodes are asked for one call.
 	maxRelays = 4
 )
@@ -69,10 +69,9 @@
 	clock  clock.Clock
 	health store.Health // of direct calls
 
-	mu              sync.Mutex
-	relays          func() []string // addresses of nodes that may be asked
-	preferred       int             // index in relays of the node that is asked first
-	relayFirstUntil time.Duration   // until when other nodes are asked before the store
+	mu        sync.Mutex
+	relays    func() []string // addresses of nodes that may be asked
+	preferred int             // index in relays of the node that is asked first
 }
 
 // New returns a Ledger on top of a direct one and serves the calls of other
@@ -143,29 +142,25 @@
 	return err
 }
 
-// do calls the store, and other nodes if that call had no effect. A commit
-// without an answer may still take effect, so it is not repeated here.
+// do calls the store, and other nodes if that call had no effect. While the store
+// fails this node, other nodes are asked first, and renewals show when it answers
+// again. A commit without an answer may still take effect, so it is not repeated here.
 func (l *Ledger) do(ctx context.Context, req request) (reply, error) {
-	l.mu.Lock()
-	relayFirst := l.clock.Elapsed() < l.relayFirstUntil
-	l.mu.Unlock()
-	if relayFirst {
-		r, err := l.callRelays(ctx, req)
-		if !hadNoEffect(err) {
+	failing := !l.health.Answers()
+	switch {
+	case failing && req.Op == opKeepLease:
+		return l.hedge(ctx, req)
+	case failing:
+		if r, err := l.callRelays(ctx, req); !hadNoEffect(err) {
 			return r, err
 		}
 	}
-	directCtx, cancel := context.WithTimeout(ctx, directTimeout)
-	r, err := l.callStore(directCtx, req)
-	cancel()
+	r, err := l.callDirect(ctx, req)
 	if !hadNoEffect(err) && !errors.Is(err, store.ErrUncertain) {
 		return r, err
 	}
-	l.mu.Lock()
-	l.relayFirstUntil = l.clock.Elapsed() + relayFirstTime
-	l.mu.Unlock()
 	idempotent := req.Op == opKeepLease || req.Op == opEndLease || req.Op == opNewLease
-	if relayFirst || !hadNoEffect(err) && !idempotent || ctx.Err() != nil {
+	if failing || !hadNoEffect(err) && !idempotent || ctx.Err() != nil {
 		return r, err
 	}
 	if relayed, relayErr := l.callRelays(ctx, req); !hadNoEffect(relayErr) {
@@ -174,6 +169,50 @@
 	return r, err
 }
 
+// hedge calls the store and, if that does not answer soon, other nodes at the same
+// time. The call must be idempotent.
+func (l *Ledger) hedge(ctx context.Context, req request) (reply, error) {
+	type result struct {
+		reply reply
+		err   error
+	}
+	directCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	direct := make(chan result, 1)
+	go func() {
+		r, err := l.callDirect(directCtx, req)
+		direct <- result{r, err}
+	}()
+	timer := l.clock.NewTimer(renewalHedgeDelay)
+	defer timer.Stop()
+	select {
+	case d := <-direct:
+		if !hadNoEffect(d.err) && !errors.Is(d.err, store.ErrUncertain) {
+			return d.reply, d.err
+		}
+		if relayed, err := l.callRelays(ctx, req); !hadNoEffect(err) {
+			return relayed, err
+		}
+		return d.reply, d.err
+	case <-timer.Chan():
+	}
+	relayed, err := l.callRelays(ctx, req)
+	if !hadNoEffect(err) && !errors.Is(err, store.ErrUncertain) {
+		cancel()
+		<-direct
+		return relayed, err
+	}
+	d := <-direct
+	return d.reply, d.err
+}
+
+// callDirect calls the store from this node.
+func (l *Ledger) callDirect(ctx context.Context, req request) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	return l.callStore(ctx, req)
+}
+
 // hadNoEffect reports whether an error means that a call certainly had no
 // effect on the store.
 func hadNoEffect(err error) bool {
@@ -213,6 +252,9 @@
 		at := (first + i) % len(relays)
 		var r reply
 		r, err = peer.Call[reply](ctx, l.peers, relays[at], Method, req)
+		if err != nil {
+			l.prefer(at + 1)
+		}
 		switch {
 		case errors.Is(err, peer.ErrNotSent):
 			err = fmt.Errorf("%w: %w", store.ErrUnavailable, err)
@@ -223,30 +265,36 @@
 			return reply{}, fmt.Errorf("%w: unknown error code %d in the reply", store.ErrUncertain, r.ErrorCode)
 		}
 		err = wireErrors[r.ErrorCode]
-		l.mu.Lock()
-		l.preferred = at
 		if hadNoEffect(err) {
-			l.preferred = at + 1 // the store may refuse this node as well
+			l.prefer(at + 1) // the store may refuse this node as well
+			continue
 		}
-		l.mu.Unlock()
-		if !hadNoEffect(err) {
-			if err != nil {
-				err = fmt.Errorf("call store through %s: %w", relays[at], err)
-			}
-			return r, err
+		l.prefer(at)
+		if err != nil {
+			err = fmt.Errorf("call store through %s: %w", relays[at], err)
 		}
+		return r, err
 	}
 	return reply{}, err
 }
 
+// prefer sets the node that is asked first.
+func (l *Ledger) prefer(index int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.preferred = index
+}
+
 func (l *Ledger) handleCall(ctx context.Context, body []byte) ([]byte, error) {
 	var req request
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, fmt.Errorf("decode relayed store call: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
-	defer cancel()
-	r, err := l.callStore(ctx, req)
+	if !l.health.Answers() {
+		// The other node has no time to wait in vain for the store here.
+		return cbor.Marshal(reply{ErrorCode: errorCode(store.ErrBusy)})
+	}
+	r, err := l.callDirect(ctx, req)
 	if err != nil {
 		r = reply{ErrorCode: errorCode(err)}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,22 +18,28 @@
 // runOnFourNodes runs a test on four nodes that use one store, and passes it the
 // store and the relay.Ledger of node "a".
 func runOnFourNodes(t *testing.T, test func(t *testing.T, ledger *emul.Ledger, l store.Ledger)) {
+	t.Helper()
+	runOnNodes(t, func(t *testing.T, ledger *emul.Ledger, nodes map[string]*relay.Ledger) { test(t, ledger, nodes["a"]) })
+}
+
+// runOnNodes is runOnFourNodes for tests that call the store from several nodes.
+func runOnNodes(t *testing.T, test func(t *testing.T, ledger *emul.Ledger, nodes map[string]*relay.Ledger)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := clock.NewBubble()
 		net, ledger := emul.NewNet(), emul.NewLedger(4*time.Millisecond)
 		ends := make(chan error, 4)
-		var ledgerOfA *relay.Ledger
+		nodes := make(map[string]*relay.Ledger)
 		for _, name := range []string{"d", "c", "b", "a"} {
 			peers := peer.New(c)
 			peers.SetDialer(net.Dialer(name))
-			ledgerOfA = relay.New(ledger.Client(name), peers, c)
+			nodes[name] = relay.New(ledger.Client(name), peers, c)
 			l := net.Listen(name)
 			go func() { ends <- peers.Run(ctx, l) }()
 		}
-		ledgerOfA.SetRelays(func() []string { return []string{"b", "c", "d"} })
-		test(t, ledger, ledgerOfA)
+		nodes["a"].SetRelays(func() []string { return []string{"b", "c", "d"} })
+		test(t, ledger, nodes)
 		cancel()
 		for range 4 {
 			if err := <-ends; err != nil {
@@ -97,3 +104,38 @@
 		}
 	})
 }
+
+// keepLease renews a lease within the time that nodes give it.
+func keepLease(l store.Ledger, lease uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 450*time.Millisecond)
+	defer cancel()
+	return l.KeepLease(ctx, lease)
+}
+
+// Guards against renewals that fail for as long as the store leaves this node and the
+// nodes that it asks first without an answer.
+func TestStoreSilentToNodesAsked(t *testing.T) {
+	for _, aware := range []bool{true, false} {
+		t.Run(fmt.Sprintf("they know it is %v", aware), func(t *testing.T) {
+			runOnNodes(t, func(t *testing.T, ledger *emul.Ledger, nodes map[string]*relay.Ledger) {
+				lease, err := nodes["a"].NewLease(context.Background(), time.Minute)
+				if err != nil {
+					t.Fatal(err)
+				}
+				ledger.SetFaults(emul.LedgerFaults{Silent: map[string]bool{"a": true, "b": true, "c": true}})
+				failures := 0
+				for range 5 {
+					if aware {
+						_, _ = keepLease(nodes["b"], lease), keepLease(nodes["c"], lease)
+					}
+					if keepLease(nodes["a"], lease) != nil {
+						failures++
+					}
+				}
+				if aware && failures > 1 || failures > 3 {
+					t.Errorf("%d of 5 renewals failed, want the first one only, or one for each node asked", failures)
+				}
+			})
+		})
+	}
+}
