fleet: pass long lists of routes on compressed

On the grown site of Cascadia, with 60% of the nodes without an answer of the store, rules with 1,200 more routes were in force on the first nodes at once, on half of them 2.0 s, and on the last 8.5 s after the change; 12 requests were handled by the version before it.

Cause: a record of over 16 KiB was not passed on by the relay, which named only its key, and each of 87 nodes read it from the store. Half of them are in the other region, behind the paid link (about 420 kB each in the store's encoding), and those without an answer had to find a node to read through. Class: one data centre's need is met once for each node.

--- a/emul/ledger.go
+++ b/emul/ledger.go
@@ -22,8 +22,9 @@
 	leases  map[uint64]bool
 	changed chan struct{}
 	faults  LedgerFaults
-	timers  []*time.Timer // of writes that take effect later
-	delay   time.Duration // of each call
+	timers  []*time.Timer  // of writes that take effect later
+	delay   time.Duration  // of each call
+	read    map[string]int // bytes of values that were read, by key
 }
 
 // LedgerFaults are the faults in force. The zero value has none.
@@ -42,7 +43,7 @@
 func NewLedger(delay time.Duration) *Ledger {
 	return &Ledger{
 		items: make(map[string]store.Item), rev: 1, leases: make(map[uint64]bool),
-		changed: make(chan struct{}), delay: delay,
+		changed: make(chan struct{}), delay: delay, read: make(map[string]int),
 	}
 }
 
@@ -67,6 +68,20 @@
 	clear(l.leases)
 }
 
+// BytesRead returns how many bytes of a record's values were read by clients.
+func (l *Ledger) BytesRead(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.read[key]
+}
+
+// countRead counts the values of records that a client reads. The lock is held.
+func (l *Ledger) countRead(items ...store.Item) {
+	for _, it := range items {
+		l.read[it.Key] += len(it.Value)
+	}
+}
+
 // Put writes a record without a condition, as operators do.
 func (l *Ledger) Put(key string, value []byte) {
 	l.mu.Lock()
@@ -135,6 +150,7 @@
 	if !ok || it.Removed {
 		return store.Item{}, store.ErrNotFound
 	}
+	c.l.countRead(it)
 	return it, nil
 }
 
@@ -151,6 +167,7 @@
 			out = append(out, it)
 		}
 	}
+	c.l.countRead(out...)
 	slices.SortFunc(out, func(a, b store.Item) int { return cmp.Compare(a.Key, b.Key) })
 	return out, c.l.rev, nil
 }
@@ -175,6 +192,9 @@
 			}
 		}
 		rev, changed, down := c.l.rev, c.l.changed, c.l.faults.Down || c.l.faults.Silent[c.name]
+		if !down {
+			c.l.countRead(out...)
+		}
 		c.l.mu.Unlock()
 		if len(out) > 0 && !down {
 			return out, rev, nil
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -29,6 +29,8 @@
 	Items []store.Item `cbor:"1,keyasint,omitempty"`
 	Rev   uint64       `cbor:"2,keyasint"`           // up to which Items has all newer records
 	AgeMs int64        `cbor:"3,keyasint,omitempty"` // since the store last confirmed that there is no newer record
+	// Packed holds compressed records.
+	Packed []packedItem `cbor:"4,keyasint,omitempty"`
 }
 
 // copyRecords copies newer records from nodes of other data centres, until one of them
@@ -44,6 +46,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
 		r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, copyRequest{After: after})
 		cancel()
+		if err == nil {
+			r.Items, err = unpackAll(r.Items, r.Packed)
+		}
 		if err == nil {
 			age := time.Duration(r.AgeMs) * time.Millisecond
 			// An error means that the loop has ended.
@@ -83,13 +88,18 @@
 		return nil, err
 	}
 	var r copyReply
+	var b batch
 	err := f.post(ctx, func(now time.Duration) {
 		r.Rev, r.AgeMs = f.knownRev, f.freshness.age(now).Milliseconds()
 		for _, it := range f.items {
 			if it.Rev > c.After {
-				r.Items = append(r.Items, it)
+				f.addToBatch(&b, it)
 			}
 		}
+		r.Items, r.Packed = b.items, b.packed
+		for _, key := range b.large {
+			r.Items = append(r.Items, f.items[key])
+		}
 	})
 	if err != nil {
 		return nil, err
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,7 +87,8 @@
 	relayDueAt     time.Duration // when collected changes are passed on next
 	// peerRevs is the revision up to which each other node knows all records.
 	peerRevs     map[string]uint64
-	relaying     map[string]bool // nodes to which a call with changes is in flight
+	packed       map[string]packedItem // compressed records that were passed on, by key
+	relaying     map[string]bool       // nodes to which a call with changes is in flight
 	rangeChanges map[string]*rangeChange
 	members      map[string]Member
 	ranges       map[string]span.Map
@@ -125,6 +126,7 @@
 	f.releases.unsent = make(map[string][]span.Release)
 	f.releases.fromPeers = make(map[string][]peerRelease)
 	f.revoker.revocations = make(map[string]*revocation)
+	f.packed = make(map[string]packedItem)
 	f.election.candidates = make(map[string]time.Duration)
 	f.planner.init(now)
 	f.publish()
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -20,9 +20,9 @@
 const (
 	// relayDelay is how long changes are collected before they are passed on.
 	relayDelay = 20 * time.Millisecond
-	// maxInlineBytes is the size up to which a record is passed on whole. Larger ones are
-	// read from the store, whose link has more bandwidth.
-	maxInlineBytes = 16 << 10
+	// largeChangesTimeout replaces reportTimeout for changes with compressed records, which
+	// all nodes of the data centre get over the link of the relay.
+	largeChangesTimeout = 2 * time.Second
 )
 
 // changeSet holds the records that changed after one revision up to another, as far as
@@ -33,6 +33,8 @@
 	Items []store.Item `cbor:"3,keyasint,omitempty"`
 	Large []string     `cbor:"4,keyasint,omitempty"` // keys to be read from the store
 	AgeMs int64        `cbor:"5,keyasint,omitempty"` // since the store last confirmed that there is no newer record
+	// Packed holds compressed records.
+	Packed []packedItem `cbor:"6,keyasint,omitempty"`
 }
 
 // rangeChange is the revision at which the ranges of a service last changed for a node.
@@ -62,6 +64,7 @@
 // changesFor returns the changes that a node lacks which knows all records up to a
 // revision.
 func (f *Fleet) changesFor(node string, after uint64, now time.Duration) (changeSet, bool) {
+	var b batch
 	n := changeSet{After: after, Rev: f.knownRev, AgeMs: f.freshness.age(now).Milliseconds()}
 	for key, it := range f.items {
 		if it.Rev <= after {
@@ -73,13 +76,10 @@
 				continue
 			}
 		}
-		if len(it.Value) > maxInlineBytes {
-			n.Large = append(n.Large, key)
-		} else {
-			n.Items = append(n.Items, it)
-		}
+		f.addToBatch(&b, it)
 	}
-	return n, len(n.Items)+len(n.Large) > 0
+	n.Items, n.Packed, n.Large = b.items, b.packed, b.large
+	return n, len(n.Items)+len(n.Packed)+len(n.Large) > 0
 }
 
 // relayChanges starts calls to all nodes of the data centre that lack changes. It is
@@ -101,7 +101,11 @@
 
 // sendChanges passes changes on to a node and records the revision that it knows then.
 func (f *Fleet) sendChanges(ctx context.Context, m Member, n changeSet) {
-	callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+	timeout := reportTimeout
+	if len(n.Packed) > 0 {
+		timeout = largeChangesTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	reply, err := peer.Call[reportReply](callCtx, f.cfg.Peers, m.Address, MethodChanges, n)
 	cancel()
 	// An error means that the loop has ended.
@@ -119,7 +123,10 @@
 	if err := cbor.Unmarshal(body, &n); err != nil {
 		return nil, err
 	}
-	items := n.Items
+	items, err := unpackAll(n.Items, n.Packed)
+	if err != nil {
+		return nil, err
+	}
 	for _, key := range n.Large {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		it, err := f.cfg.Store.Read(callCtx, key)
@@ -133,7 +140,7 @@
 		items = append(items, it)
 	}
 	var reply reportReply
-	err := f.post(ctx, func(now time.Duration) {
+	err = f.post(ctx, func(now time.Duration) {
 		f.applyRecords(items, fromRelay)
 		if n.After <= f.knownRev {
 			f.knownRev = max(f.knownRev, n.Rev)
--- a/fleet/rules_test.go
+++ b/fleet/rules_test.go
@@ -34,14 +34,16 @@
 		}
 	}
 	for _, ago := range []time.Duration{0, 250 * time.Millisecond, 540 * time.Millisecond, time.Second, 3 * time.Second} {
-		t.Run(fmt.Sprintf("silent for %v", ago), func(t *testing.T) {
-			onHosts(t, names, func(w *site) {
-				w.setFaults(func(f *emul.LedgerFaults) { f.Silent = silent })
-				time.Sleep(ago)
-				w.ledger.Put("rules", []byte{2})
-				assertRulesWithin(t, w, 2, 2*time.Second)
+		for name, size := range map[string]int{"short": 1, "long": 300_000} {
+			t.Run(fmt.Sprintf("silent for %v, %s list of routes", ago, name), func(t *testing.T) {
+				onHosts(t, names, func(w *site) {
+					w.setFaults(func(f *emul.LedgerFaults) { f.Silent = silent })
+					time.Sleep(ago)
+					w.ledger.Put("rules", append([]byte{2}, make([]byte, size-1)...))
+					assertRulesWithin(t, w, 2, 2*time.Second)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -99,3 +101,23 @@
 		}
 	})
 }
+
+// Guards against long lists of routes that each node reads from the store, whose link to
+// the other regions is narrow.
+func TestLongRulesAreReadByFewNodes(t *testing.T) {
+	var names []string
+	for _, dc := range []string{"a", "b"} {
+		for i := range 8 {
+			names = append(names, fmt.Sprint(dc, i+1))
+		}
+	}
+	onHosts(t, names, func(w *site) {
+		before := w.ledger.BytesRead("rules")
+		size := 300_000
+		w.ledger.Put("rules", append([]byte{2}, make([]byte, size-1)...))
+		assertRulesWithin(t, w, 2, 2*time.Second)
+		if read := w.ledger.BytesRead("rules") - before; read > 3*size {
+			t.Errorf("%d bytes of rules of %d bytes were read from the store, want at most one read for each data centre and one by the planning node", read, size)
+		}
+	})
+}
