serve, triage, fleet: keep to the limits that targets name

Cause: nothing read the limit. Class: a new term of the interface that the adapter passes on without decoding it.

Change: the adapter decodes the limit; the node beside the target, which is the only way to it, starts requests at that rate, so that the limit holds for all nodes together without messages between them. What does not fit is refused at once with the time at which a start is free, or goes to another target if it has no key; the planner takes the limit for the target's capacity and moves keys.

--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -105,6 +105,7 @@
 	f.members[name] = m
 	if name == f.cfg.Name {
 		f.inheritLeaving(m)
+		f.inheritLimit(m)
 		if m.Revoked {
 			f.startNewRun(m)
 		}
--- a/fleet/local.go
+++ b/fleet/local.go
@@ -73,6 +73,10 @@
 	holdEndsBy   time.Duration    // latest end of any hold granted
 	pending      []pendingRelease // releases that are not recorded yet
 	leavingSince time.Duration    // when the target was first known to leave
+
+	limit           float64       // requests a second that the target names
+	limitKnown      bool          // the target named a limit, or ended one, to this run
+	limitRecordedAt time.Duration // when heartbeat.Limit last changed
 }
 
 // pendingRelease is a range of keys that an incarnation of the target released, as its
@@ -116,6 +120,7 @@
 	if hb.Leaving && l.leavingSince == 0 {
 		l.leavingSince = now
 	}
+	hb.Limit = l.heartbeat.Limit // heartbeats do not carry it
 	l.present, l.heartbeat, l.heardAt = true, hb, now
 	if len(hb.Released) > 0 {
 		pending := slices.Clone(l.pending)
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -95,11 +96,15 @@
 	if mean == 0 {
 		return slots
 	}
+	capacity := math.Inf(1)
+	if m.Target.Limit > 0 {
+		capacity = m.Target.Limit
+	}
 	s := p.serviceRates[m.Name]
 	if s.incarnation != m.Target.Incarnation {
 		s = serviceRate{}
 	}
-	return slots * (s.answered + priorAnswers) / (s.work + priorAnswers*mean)
+	return min(capacity, slots*(s.answered+priorAnswers)/(s.work+priorAnswers*mean))
 }
 
 func (p *planner) init(now time.Duration) {
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -32,4 +32,9 @@
 	assertRatio("slow", 0.45, 0.6)
 	assertRatio("few quick answers", 0.6, 1.1)
 	assertRatio("new", 0.6, 0.8)
+	limited := member("average")
+	limited.Target.Limit = 7
+	if c := p.capacity(limited, p.meanServiceTime()); c != 7 {
+		t.Errorf("capacity is %v a second, want the limit of 7 that the target names", c)
+	}
 }
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -50,6 +50,9 @@
 	Slots       int              `cbor:"3,keyasint"`
 	Leaving     bool             `cbor:"4,keyasint,omitempty"` // takes no new work
 	Lost        bool             `cbor:"5,keyasint,omitempty"` // sends no heartbeats or has ended
+	// Limit is the number of requests a second that the target takes from all nodes
+	// together, or 0 for no limit.
+	Limit float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Serves reports whether a target takes new work of a service.
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -21,6 +21,7 @@
 			hb.Leaving = true
 		}
 		f.local.receive(hb, now)
+		f.inheritLimit(f.members[f.cfg.Name])
 		if hb.Leaving && f.departures[hb.Incarnation.Target].since > 0 {
 			f.local.leavingSince = min(f.local.leavingSince, f.departures[hb.Incarnation.Target].since)
 		}
@@ -127,6 +128,7 @@
 
 // checkHeartbeat marks the target as lost when its heartbeats have stopped.
 func (f *Fleet) checkHeartbeat(now time.Duration) {
+	f.recordLimit(now)
 	if f.local.present && !f.local.heartbeat.Lost && now-f.local.heardAt > targetLostAfter {
 		before := f.local.heartbeat.Target
 		f.local.heartbeat.Lost = true
--- /dev/null
+++ b/serve/advice.go
@@ -0,0 +1,77 @@
+package serve
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"burdocklift/span"
+)
+
+// targetLimit is the limit that the local target names in its responses. It lasts for as
+// long as the target names it. The zero value is no limit.
+type targetLimit struct {
+	mu      sync.Mutex
+	rate    float64       // requests a second, 0 for none
+	namedAt time.Duration // when the target last named it
+	known   bool          // the target has answered this run of the node
+}
+
+// reset forgets the limit of an earlier incarnation.
+func (l *targetLimit) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate, l.namedAt, l.known = 0, 0, false
+}
+
+// inherit takes over the limit that an earlier run of the node recorded, until the target
+// has answered this one. It reports whether the limit has changed.
+func (l *targetLimit) inherit(rate float64, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.known || rate == l.rate {
+		return false
+	}
+	l.rate, l.namedAt = rate, now
+	return true
+}
+
+// follow applies what a response says to a request that was sent at a time, and reports
+// whether the limit has changed. A response without a limit ends it only if the request
+// was sent after the last response that named it, as responses overtake each other.
+func (l *targetLimit) follow(a Advice, sent, now time.Duration) (rate float64, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := l.rate
+	l.known = true
+	switch {
+	case a.Limited:
+		l.rate, l.namedAt = max(a.Limit, leastLimit), now
+	case sent > l.namedAt:
+		l.rate = 0
+	}
+	return l.rate, l.rate != before
+}
+
+// leastLimit stands for a limit of zero, which would read as none. Per second.
+const leastLimit = 0.001
+
+// follow applies the advice of the local target.
+func (r *Router) follow(ctx context.Context, inc span.Incarnation, a Advice, sent time.Duration) {
+	if !a.Known {
+		return
+	}
+	now := r.cfg.Clock.Elapsed()
+	r.mu.Lock()
+	current := r.incarnation == inc
+	r.mu.Unlock()
+	if current {
+		if rate, changed := r.limit.follow(a, sent, now); changed {
+			r.admission.SetRate(rate, now)
+			eventTargetLimited.Log(ctx, r.cfg.Log, slog.String("target", inc.Target), slog.Float64("limit", rate))
+			// An error means that the fleet's control loop, and with it the node, has ended.
+			_ = r.cfg.Fleet.SetTargetLimit(ctx, inc, rate)
+		}
+	}
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -207,7 +207,7 @@
 		}
 		m, _ := v.Member(c.Name)
 		res = r.sendTo(ctx, j, m)
-		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonRejected
+		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonRejected
 		picker.Done(c, pick.Result{
 			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
 			Abandoned: res.Reason == ReasonCallerGone,
--- a/serve/event.go
+++ b/serve/event.go
@@ -22,6 +22,10 @@
 	"The node of a caller that left cancelled a request that it had forwarded. The at_target field tells whether the target worked on it.",
 	"Search the logs of all nodes for the request id: the line of the caller's node tells when the caller left.")
 
+var eventTargetLimited = event.Define(2905, "target limited", slog.LevelInfo,
+	"The target beside the node names another limit of requests a second in its responses, or none (0).",
+	"Check the target. Requests over the limit are refused with the reason limit, or go to other targets.")
+
 var eventRequestFailed = event.Define(2900, "request failed", slog.LevelInfo,
 	"A request of a caller was refused, failed or ended without a response. The reason field names the cause.",
 	"Search the logs of all nodes for the request id.")
--- a/serve/local.go
+++ b/serve/local.go
@@ -118,20 +118,14 @@
 		Class: j.class, Urgency: j.urgency, Age: j.age, Objective: j.objective, Deadline: j.deadline,
 	}, r.cfg.Clock.Elapsed())
 	if w != nil {
-		timer := r.cfg.Clock.NewTimer(j.deadline - r.cfg.Clock.Elapsed())
-		defer timer.Stop()
-		select {
-		case err = <-w.Done():
-		case <-timer.Chan():
-			err = r.cancelWait(j, w, triage.ErrRefused)
-		case <-ctx.Done():
-			err = r.cancelWait(j, w, ctx.Err())
-		}
+		err = r.awaitStart(ctx, j, w)
 	}
 	var refusal triage.Refusal
 	switch {
 	case err == nil:
 		return Result{}, true
+	case errors.As(err, &refusal) && refusal.Rate:
+		return notRun(ReasonLimited, refusal.RetryAfter), false
 	case errors.As(err, &refusal):
 		return notRun(ReasonNoSlot, refusal.RetryAfter), false
 	case errors.Is(err, triage.ErrRefused), errors.Is(err, context.DeadlineExceeded):
@@ -140,6 +134,32 @@
 	return notRun(ReasonCallerGone, 0), false
 }
 
+// awaitStart waits until a queued request may start, is refused or gives up. Slots that
+// become free start the next request; that its rate allows it is found out here.
+func (r *Router) awaitStart(ctx context.Context, j *job, w *triage.Waiter) error {
+	timer := r.cfg.Clock.NewTimer(j.deadline - r.cfg.Clock.Elapsed())
+	defer timer.Stop()
+	for {
+		now := r.cfg.Clock.Elapsed()
+		next := r.admission.Dispatch(now)
+		if next > 0 {
+			timer.Reset(min(next, j.deadline-now))
+		} else {
+			timer.Reset(j.deadline - now)
+		}
+		select {
+		case err := <-w.Done():
+			return err
+		case <-timer.Chan():
+			if r.cfg.Clock.Elapsed() >= j.deadline {
+				return r.cancelWait(j, w, triage.ErrRefused)
+			}
+		case <-ctx.Done():
+			return r.cancelWait(j, w, ctx.Err())
+		}
+	}
+}
+
 // cancelWait withdraws a waiting request, or releases the slot if one was
 // granted in the meantime.
 func (r *Router) cancelWait(j *job, w *triage.Waiter, reason error) error {
@@ -157,11 +177,16 @@
 func (r *Router) resetAdmission(t *fleet.Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.incarnation == t.Incarnation {
-		return
+	now := r.cfg.Clock.Elapsed()
+	if r.incarnation != t.Incarnation {
+		r.incarnation = t.Incarnation
+		r.admission.SetSlots(t.Slots)
+		r.admission.SetRate(0, now)
+		r.limit.reset()
+	}
+	if r.limit.inherit(t.Limit, now) {
+		r.admission.SetRate(t.Limit, now)
 	}
-	r.incarnation = t.Incarnation
-	r.admission.SetSlots(t.Slots)
 }
 
 // awaitTarget waits until the local target may run the request. It returns a
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -39,7 +39,10 @@
 	var response Response
 	var err error
 	crashed, refusal := r.guard.Run(fingerprint(j), r.cfg.Target.NotListening, func() poison.Outcome {
-		response, err = r.cfg.Target.Run(ctx, j.request, t.Incarnation, remaining)
+		var advice Advice
+		sent := r.cfg.Clock.Elapsed()
+		response, advice, err = r.cfg.Target.Run(ctx, j.request, t.Incarnation, remaining)
+		r.follow(context.WithoutCancel(ctx), t.Incarnation, advice, sent)
 		return guardOutcome(err)
 	})
 	if refusal != nil {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -50,6 +50,13 @@
 	Body   []byte
 }
 
+// Advice is what a target says of itself in a response. The zero value says nothing.
+type Advice struct {
+	Known   bool    // the response is one of this target
+	Limit   float64 // requests a second that the target takes from all nodes together; 0 for no limit
+	Limited bool    // the target names a limit
+}
+
 // Errors returned by a Target. After any other error the request may have run.
 var (
 	// ErrNotSent means that the target received nothing of the request.
@@ -71,8 +78,12 @@
 // Target runs requests on the local target of this node.
 type Target interface {
 	// Run sends a request to the given incarnation of the target, which should
-	// stop working on it after the remaining time.
-	Run(ctx context.Context, req *Request, incarnation span.Incarnation, remaining time.Duration) (Response, error)
+	// stop working on it after the remaining time. The advice is that of the response,
+	// also if the target rejected the request.
+	Run(ctx context.Context, req *Request, incarnation span.Incarnation, remaining time.Duration) (Response, Advice, error)
+	// Advice returns the advice in the headers of a response, which may be one that
+	// another node received.
+	Advice(h http.Header) Advice
 	// NotListening reports whether no process listens at the target's address.
 	NotListening() bool
 }
@@ -91,6 +102,7 @@
 	ReasonNotOwner        Reason = "moved"    // this node's target does not own the key
 	ReasonNoGrant         Reason = "grant"    // the target may not hold the key yet
 	ReasonNoSlot          Reason = "full"     // no slot becomes free before the deadline
+	ReasonLimited         Reason = "limit"    // the target takes no more requests a second
 	ReasonNoTarget        Reason = "target"   // no target takes requests
 	ReasonRejected        Reason = "rejected" // the target rejected the request
 	ReasonPeerUnreachable Reason = "peer"     // the owner's node cannot be reached
@@ -142,6 +154,7 @@
 	admission triage.Limiter
 	guard     *poison.Guard
 	unheld    unheldRanges
+	limit     targetLimit
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,15 +28,29 @@
 type fakeTarget struct {
 	mu    sync.Mutex
 	runs  []string // IDs in the order of arrival
+	times []time.Time
 	down  atomic.Bool
 	reply func(ctx context.Context, req *serve.Request) (serve.Response, error)
 }
 
-func (t *fakeTarget) Run(ctx context.Context, req *serve.Request, _ span.Incarnation, _ time.Duration) (serve.Response, error) {
+func (t *fakeTarget) Run(ctx context.Context, req *serve.Request, _ span.Incarnation, _ time.Duration) (serve.Response, serve.Advice, error) {
 	t.mu.Lock()
-	t.runs = append(t.runs, req.ID)
+	t.runs, t.times = append(t.runs, req.ID), append(t.times, time.Now())
 	t.mu.Unlock()
-	return t.reply(ctx, req)
+	resp, err := t.reply(ctx, req)
+	if err != nil && !errors.Is(err, serve.ErrRejected) {
+		return resp, serve.Advice{}, err
+	}
+	return resp, t.Advice(resp.Header), err
+}
+
+// Advice reads the limit and the departure from the headers of the tests.
+func (t *fakeTarget) Advice(h http.Header) serve.Advice {
+	a := serve.Advice{Known: true}
+	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		a.Limit, a.Limited = limit, true
+	}
+	return a
 }
 
 func (t *fakeTarget) NotListening() bool { return t.down.Load() }
@@ -61,6 +77,8 @@
 	leaving chan struct{}
 	net     *emul.Net
 	ledger  *emul.Ledger
+	stops   map[string]func() // end a node and wait for its end
+	prepare func(target *fakeTarget)
 }
 
 func runInSite(t *testing.T, test func(t *testing.T, s *site)) {
@@ -69,24 +87,46 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		s := &site{
 			routers: make(map[string]*serve.Router), targets: make(map[string]*fakeTarget),
-			leaving: make(chan struct{}), net: emul.NewNet(),
+			leaving: make(chan struct{}), net: emul.NewNet(), stops: make(map[string]func()),
 		}
 		ledger := emul.NewLedger(time.Millisecond)
 		ledger.Put("rules", nil)
 		s.ledger = ledger
-		var ends []chan struct{}
 		for name, service := range map[string]string{"a1": "desk", "b1": "archive"} {
-			ends = append(ends, s.start(ctx, name, service, ledger))
+			s.launch(ctx, name, service)
 		}
 		time.Sleep(8 * time.Second)
 		test(t, s)
 		cancel()
-		for _, end := range ends {
-			<-end
+		for _, stop := range s.stops {
+			stop()
 		}
 	})
 }
 
+// launch starts a node that restart can end.
+func (s *site) launch(ctx context.Context, name, service string) {
+	ctx, cancel := context.WithCancel(ctx)
+	end := s.start(ctx, name, service, s.ledger)
+	s.stops[name] = func() { cancel(); <-end }
+}
+
+// restart ends a node at once and starts it again beside the same target, whose new stand-in
+// is prepared before the node runs.
+func (s *site) restart(t *testing.T, name, service string, prepare func(target *fakeTarget)) {
+	t.Helper()
+	s.stops[name]()
+	s.prepare = prepare
+	s.launch(context.Background(), name, service)
+	s.prepare = nil
+	time.Sleep(4 * time.Second)
+}
+
+// setSilent makes the store leave a node without an answer.
+func (s *site) setSilent(name string, silent bool) {
+	s.ledger.SetFaults(emul.LedgerFaults{Silent: map[string]bool{name: silent}})
+}
+
 func decodeRules([]byte) (*rules.Set, error) {
 	route := func(name, service string, idempotent bool) rules.Route {
 		return rules.Route{
@@ -109,6 +149,9 @@
 		Log: log, RulesKey: "rules", Rules: decodeRules,
 	})
 	target := &fakeTarget{reply: ok}
+	if s.prepare != nil {
+		s.prepare(target)
+	}
 	s.targets[name] = target
 	s.routers[name] = serve.New(serve.Config{
 		Name: name, DataCentre: name, Region: "r", Fleet: f, Peers: peers, Target: target, Clock: c,
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -67,7 +67,10 @@
 func (r Request) isRetry() bool { return r.Age >= RetryAge }
 
 // Refusal is the error of a refused request. RetryAfter is a hint for the caller.
-type Refusal struct{ RetryAfter time.Duration }
+type Refusal struct {
+	RetryAfter time.Duration
+	Rate       bool // the rate of starts decided, not the slots
+}
 
 // Error implements error.
 func (r Refusal) Error() string {
@@ -88,18 +91,22 @@
 	queue        []*Waiter
 	means        map[string]time.Duration // service time by class
 	arrivals     map[int]*decayingWork    // by urgency
+	starts       bucket
+	returns      time.Duration // when the last caller that the rate refused was told to return
 }
 
 // decayingWork is the exponentially decaying sum of the work that arrived with
 // requests of one urgency.
 type decayingWork struct {
 	work    float64 // seconds
+	count   float64 // requests
 	updated time.Duration
 }
 
-// decayed returns the sum at a moment not before the last update.
-func (w *decayingWork) decayed(now time.Duration) float64 {
-	return w.work * math.Exp(-float64(now-w.updated)/float64(arrivalDecay))
+// decay returns the factor by which the sums have decayed at a moment not before the last
+// update.
+func (w *decayingWork) decay(now time.Duration) float64 {
+	return math.Exp(-float64(now-w.updated) / float64(arrivalDecay))
 }
 
 // recordArrival adds the expected work of a new request.
@@ -112,7 +119,9 @@
 		w = &decayingWork{}
 		l.arrivals[r.Urgency] = w
 	}
-	w.work = w.decayed(now) + l.meanServiceTime(r.Class).Seconds()
+	decay := w.decay(now)
+	w.work = w.work*decay + l.meanServiceTime(r.Class).Seconds()
+	w.count = w.count*decay + 1
 	w.updated = now
 }
 
@@ -121,13 +130,18 @@
 // objective, equally urgent ones that can meet theirs.
 func (l *Limiter) reservedShare(r Request, now time.Duration) float64 {
 	late := now+l.meanServiceTime(r.Class) > r.Objective
-	sum := 0.0
+	work, count := 0.0, 0.0
 	for urgency, w := range l.arrivals {
 		if urgency > r.Urgency || late && urgency == r.Urgency {
-			sum += w.decayed(now)
+			work += w.work * w.decay(now)
+			count += w.count * w.decay(now)
 		}
 	}
-	reserved := min(sum/arrivalDecay.Seconds()/float64(max(l.limit, 1)), maxReservedShare)
+	reserved := work / arrivalDecay.Seconds() / float64(max(l.limit, 1))
+	if l.starts.rate > 0 {
+		reserved = max(reserved, count/arrivalDecay.Seconds()/l.starts.rate)
+	}
+	reserved = min(reserved, maxReservedShare)
 	share := min(1, float64(loadHorizon)/float64(max(r.Deadline-now, 1)))
 	return reserved * share * share
 }
@@ -161,13 +175,15 @@
 		if now+serviceTime/2 > r.Deadline {
 			return nil, Refusal{RetryAfter: 0}
 		}
+	}
+	if l.running < l.limit && len(l.queue) == 0 && l.starts.take(now) {
 		l.running++
 		l.recordArrival(r, now)
 		return nil, nil
 	}
 	maxWait := time.Duration(lateWaitShare * float64(max(r.Objective-now, 0)+r.Age))
 	if !l.worthWaiting(r, l.estimateQueueWait(r, now), maxWait, now) {
-		return nil, Refusal{RetryAfter: l.retryAfter()}
+		return nil, l.refusal(r, now)
 	}
 	l.recordArrival(r, now)
 	w := &Waiter{request: r, arrived: now, done: make(chan error, 1)}
@@ -258,25 +274,26 @@
 		}
 		return 0
 	})
-	free, ahead := l.limit-l.running, time.Duration(0)
+	free, ahead, aheadCount := l.limit-l.running, time.Duration(0), 0
 	l.queue = slices.DeleteFunc(l.queue, func(w *Waiter) bool {
 		serviceTime := l.meanServiceTime(w.request.Class)
-		if free > 0 {
-			if now+serviceTime > w.request.Deadline {
-				w.done <- Refusal{RetryAfter: l.retryAfter()}
-				return true
-			}
+		if free > 0 && now+serviceTime > w.request.Deadline {
+			w.done <- l.refusal(w.request, now)
+			return true
+		}
+		if free > 0 && l.starts.take(now) {
 			free--
 			l.running++
 			w.done <- nil
 			return true
 		}
 		maxWait := time.Duration(lateWaitShare*float64(w.request.Objective-w.arrived)) - (now - w.arrived)
-		if !l.worthWaiting(w.request, l.estimateWait(w.request, ahead, now), maxWait, now) {
-			w.done <- Refusal{RetryAfter: l.retryAfter()}
+		if !l.worthWaiting(w.request, l.estimateWait(w.request, ahead, aheadCount, now), maxWait, now) {
+			w.done <- l.refusal(w.request, now)
 			return true
 		}
 		ahead += serviceTime
+		aheadCount++
 		return false
 	})
 }
@@ -300,20 +317,35 @@
 // estimateQueueWait estimates how long a new request waits for a slot, from the
 // work queued ahead of it.
 func (l *Limiter) estimateQueueWait(r Request, now time.Duration) time.Duration {
-	ahead := time.Duration(0)
+	ahead, count := time.Duration(0), 0
 	for _, w := range l.queue {
 		if !l.before(r, w.request, now) {
 			ahead += l.meanServiceTime(w.request.Class)
+			count++
 		}
 	}
-	return l.estimateWait(r, ahead, now)
+	return l.estimateWait(r, ahead, count, now)
 }
 
-// estimateWait estimates how long a request with the given work ahead of it waits
-// for a slot.
-func (l *Limiter) estimateWait(r Request, ahead, now time.Duration) time.Duration {
-	work := ahead + l.meanServiceTime(r.Class) // one more service time for the requests that run
-	return time.Duration(waitFactor * float64(work) / float64(max(l.limit, 1)) / (1 - l.reservedShare(r, now)))
+// estimateWait estimates how long a request waits for a slot and a start, with the given
+// work of a number of requests ahead of it.
+func (l *Limiter) estimateWait(r Request, ahead time.Duration, count int, now time.Duration) time.Duration {
+	reserved := l.reservedShare(r, now)
+	slot := time.Duration(0)
+	if l.running >= l.limit || l.starts.rate == 0 {
+		work := ahead + l.meanServiceTime(r.Class) // one more service time for the requests that run
+		slot = time.Duration(waitFactor * float64(work) / float64(max(l.limit, 1)) / (1 - reserved))
+	}
+	start := time.Duration(float64(l.starts.wait(float64(count), now)) / (1 - reserved))
+	return max(slot, start)
+}
+
+// refusal returns the refusal of a request.
+func (l *Limiter) refusal(r Request, now time.Duration) Refusal {
+	if l.starts.wait(float64(len(l.queue)), now) > 0 {
+		return Refusal{RetryAfter: l.returnTime(r, now), Rate: true}
+	}
+	return Refusal{RetryAfter: l.retryAfter()}
 }
 
 // retryAfter returns the delay after which a caller that is refused now should
