serve: send nothing to targets that said in a response that they leave

A target may say that it leaves in its responses alone. Requests went on reaching it from nodes that had passed such a response on, until a heartbeat or the end of the target told them.

Cause: nothing read the header; same class as the limits.

Change: the node beside the target treats it as a departure, which its record tells to all, and which moves the keys. Each node that passed such a response on also remembers it for itself, as the node beside the target may restart before its record is written.

Test: serve.TestTargetLeavesByResponse; without the departure, requests came 2.05 s after the response and later, drain period 2 s; without the memory of the other node, 4 s after it when the target's node restarted without a record. platform.TestAdvice.

--- a/serve/advice.go
+++ b/serve/advice.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"burdocklift/fleet"
 	"burdocklift/span"
 )
 
@@ -74,4 +75,47 @@
 			_ = r.cfg.Fleet.SetTargetLimit(ctx, inc, rate)
 		}
 	}
+	if a.Leaving && r.leaving.add(inc, now) {
+		// An error means that the fleet's control loop, and with it the node, has ended.
+		_ = r.cfg.Fleet.MarkTargetLeaving(ctx, inc.Target)
+	}
+}
+
+// maxDepartures bounds the departures that a node remembers.
+const maxDepartures = 1024
+
+// departures holds the targets that said in a response which this node passed on that they
+// leave. Their own nodes may forget it when they restart. The zero value is empty.
+type departures struct {
+	mu    sync.Mutex
+	since map[span.Incarnation]time.Duration
+}
+
+// add records a departure, and reports whether it is a new one.
+func (d *departures) add(inc span.Incarnation, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.since[inc]; ok {
+		return false
+	}
+	if d.since == nil || len(d.since) >= maxDepartures {
+		d.since = make(map[span.Incarnation]time.Duration)
+	}
+	d.since[inc] = now
+	return true
+}
+
+// over reports whether a target has been leaving for longer than a time.
+func (d *departures) over(inc span.Incarnation, limit, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	since, ok := d.since[inc]
+	return ok && now-since > limit
+}
+
+// noteDeparture records what a response of another node's target says.
+func (r *Router) noteDeparture(m fleet.Member, resp Response) {
+	if m.Target != nil && r.cfg.Target.Advice(resp.Header).Leaving {
+		r.leaving.add(m.Target.Incarnation, r.cfg.Clock.Elapsed())
+	}
 }
--- a/serve/advice_test.go
+++ b/serve/advice_test.go
@@ -144,6 +144,41 @@
 	})
 }
 
+// Guards against a target that gets requests for longer than its drain period after its
+// responses said that it leaves, also if its node forgets that.
+func TestTargetLeavesByResponse(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("node restarts %v", restart), func(t *testing.T) {
+			runInSite(t, func(t *testing.T, s *site) {
+				s.setSilent("a1", restart) // so that its record does not tell of the departure
+				target := s.targets["a1"]
+				target.reply = func(context.Context, *serve.Request) (serve.Response, error) {
+					return serve.Response{Status: 200, Header: http.Header{"Leaving": {"1"}}}, nil
+				}
+				res := s.routers["b1"].Serve(context.Background(), newRequest("1", "look"))
+				assertResult(t, res, proto.Answered, serve.ReasonAnswered)
+				said := time.Now()
+				if restart {
+					s.setSilent("a1", false)
+					s.restart(t, "a1", "desk", func(target *fakeTarget) { target.reply = ok })
+				}
+				for time.Since(said) < 6*time.Second {
+					s.routers["b1"].Serve(context.Background(), newRequest(fmt.Sprint(time.Now()), "look"))
+					time.Sleep(50 * time.Millisecond)
+				}
+				target = s.targets["a1"]
+				target.mu.Lock()
+				defer target.mu.Unlock()
+				for _, at := range target.times {
+					if late := at.Sub(said); late > 2*time.Second {
+						t.Fatalf("target got a request %v after it said that it leaves", late)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against a limit that is not heard of because the target only rejects requests.
 func TestLimitOfRejections(t *testing.T) {
 	runInSite(t, func(t *testing.T, s *site) {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -229,6 +229,9 @@
 }
 
 func (r *Router) sendTo(ctx context.Context, j *job, m fleet.Member) Result {
+	if m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), r.cfg.Clock.Elapsed()) {
+		return notRun(ReasonNoTarget, ownerRetryAfter)
+	}
 	if m.Name == r.cfg.Name {
 		if j.keyed {
 			r.cfg.Fleet.CountRequest(j.request.Key)
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -113,11 +113,13 @@
 		}
 		reply.Reason = ReasonNoResponse
 	}
-	return Result{
+	res := Result{
 		Outcome: outcomes[reply.Outcome], Reason: reply.Reason,
 		Response:   Response{Status: reply.Status, Header: reply.Header, Body: reply.Body},
 		RetryAfter: time.Duration(reply.RetryAfter) * time.Microsecond, Sends: reply.Sends,
 	}
+	r.noteDeparture(m, res.Response)
+	return res
 }
 
 func (r *Router) handleServe(ctx context.Context, body []byte) ([]byte, error) {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -55,6 +55,7 @@
 	Known   bool    // the response is one of this target
 	Limit   float64 // requests a second that the target takes from all nodes together; 0 for no limit
 	Limited bool    // the target names a limit
+	Leaving bool    // the target takes no new requests
 }
 
 // Errors returned by a Target. After any other error the request may have run.
@@ -155,6 +156,7 @@
 	guard     *poison.Guard
 	unheld    unheldRanges
 	limit     targetLimit
+	leaving   departures
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
@@ -204,5 +206,8 @@
 // drainOver reports whether the target has been leaving for so long that it
 // gets no more requests.
 func (r *Router) drainOver(v *fleet.View, now time.Duration) bool {
-	return v.LeavingFor(now) > time.Duration(r.drain.Load())-drainMargin
+	return v.LeavingFor(now) > r.drainLimit()
 }
+
+// drainLimit returns how long a leaving target gets requests.
+func (r *Router) drainLimit() time.Duration { return time.Duration(r.drain.Load()) - drainMargin }
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -46,7 +46,7 @@
 
 // Advice reads the limit and the departure from the headers of the tests.
 func (t *fakeTarget) Advice(h http.Header) serve.Advice {
-	a := serve.Advice{Known: true}
+	a := serve.Advice{Known: true, Leaving: h.Get("Leaving") != ""}
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit, a.Limited = limit, true
 	}
