client: don't take an answer that a target writes again for one to a repeat

Report from another operator: a target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that ran.

It can happen here: a request that a target refused is sent again under the same ID, at once or after a pause, mostly on the connection that was used last. If the target writes the refusal again there, its ID matches.

Change: a request goes over a connection that has not carried its ID yet. A connection keeps the IDs of all its requests and is closed after 256 of them.

--- a/client/client.go
+++ b/client/client.go
@@ -44,6 +44,8 @@
 	idleMargin = 1500 * time.Millisecond
 	// maxStrays is how many answers of other requests are skipped.
 	maxStrays = 4
+	// maxPast is how many requests a connection carries before it is closed.
+	maxPast = 256
 )
 
 // Request is what is sent to the target.
@@ -87,7 +89,7 @@
 	limit  *limitedConn  // the same connection
 	reader *bufio.Reader // of limit
 	until  time.Duration // on the clock; the connection is not used later
-	past   []string      // IDs of the last requests
+	past   []string      // IDs of all requests that were answered on it
 }
 
 // Close closes the idle connections; the others close after their exchange.
@@ -102,16 +104,21 @@
 }
 
 // take returns the idle connection that was used last, if the target has not
-// closed it.
-func (p *Pool) take() *conn {
+// closed it. It must not have carried a request with the same ID, as a target may
+// write the answer to that once more, for example a refusal.
+func (p *Pool) take(id string) *conn {
 	for {
 		p.mu.Lock()
-		if len(p.idle) == 0 {
+		i := len(p.idle) - 1
+		for i >= 0 && slices.Contains(p.idle[i].past, id) {
+			i--
+		}
+		if i < 0 {
 			p.mu.Unlock()
 			return nil
 		}
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+		c := p.idle[i]
+		p.idle = slices.Delete(p.idle, i, i+1)
 		p.mu.Unlock()
 		if p.clock.Elapsed() < c.until && quiet(c.Conn) {
 			return c
@@ -180,7 +187,7 @@
 	if err := ctx.Err(); err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := p.take()
+	c := p.take(r.ID)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
@@ -228,8 +235,8 @@
 		if id != r.ID {
 			return Answer{}, false, fmt.Errorf("%w: answer belongs to request %q", ErrUnclear, id)
 		}
-		c.past = append(c.past[max(0, len(c.past)-maxStrays+1):], r.ID)
-		keep := !resp.Close && c.reader.Buffered() == 0
+		c.past = append(c.past, r.ID)
+		keep := !resp.Close && c.reader.Buffered() == 0 && len(c.past) < maxPast
 		c.until = p.clock.Elapsed() + keepTime(resp.Header)
 		return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
 	}
