route: don't reuse connections on which a target refused a request

Change: a connection on which a target refused a request is used no more. Targets refuse there only after the end of a lease.

Tests: route.TestRefusalWrittenAgain failed before. route.TestHeadCutOff passes on the unchanged code: no cut of three kinds of heads gives an answer.

--- a/route/client.go
+++ b/route/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"burdocklift/client"
+	"burdocklift/proto"
 )
 
 const (
@@ -35,6 +36,7 @@
 	preSend func() error // runs before the first byte of a request
 	sent    bool
 	aborted bool
+	refused bool // a target refused a request on it
 }
 
 // startRequest resets the connection state for a new request.
@@ -58,7 +60,7 @@
 func (c *trackedConn) allowWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.aborted {
+	if c.aborted || c.refused {
 		return errNotSent
 	}
 	if !c.sent && c.preSend != nil {
@@ -70,6 +72,20 @@
 	return nil
 }
 
+// retire makes later writes fail because a target refused a request. The target may write
+// the refusal once more, where it would be taken for the answer to another request.
+func (c *trackedConn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = true
+}
+
+func (c *trackedConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 func (c *trackedConn) Write(b []byte) (int, error) {
 	if err := c.allowWrite(); err != nil {
 		return 0, err
@@ -113,6 +129,19 @@
 // the first byte is written, since a request may wait for a free connection; an
 // error from it keeps the request from being sent.
 func exchange(ctx context.Context, client *http.Client, method, url string, header http.Header, body []byte, limit int64, preSend func() error) (*http.Response, []byte, error) {
+	for {
+		resp, b, retired, err := exchangeOnce(ctx, client, method, url, header, body, limit, preSend)
+		if !retired || !errors.Is(err, errNotSent) || ctx.Err() != nil {
+			return resp, b, err
+		}
+	}
+}
+
+// exchangeOnce is exchange on one connection. It reports whether that was retired before, so
+// that nothing was sent.
+func exchangeOnce(
+	ctx context.Context, client *http.Client, method, url string, header http.Header, body []byte, limit int64, preSend func() error,
+) (_ *http.Response, _ []byte, retired bool, _ error) {
 	var conn *trackedConn
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*trackedConn); ok {
@@ -122,26 +151,34 @@
 	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, opaqueBody{bytes.NewReader(body)})
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errNotSent, err)
+		return nil, nil, false, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	req.ContentLength = int64(len(body))
 	req.Header = header
 	resp, err := client.Do(req)
 	if err != nil {
 		if conn == nil || !conn.abort() {
-			return nil, nil, fmt.Errorf("%w: %w", errNotSent, err)
+			return nil, nil, conn != nil && conn.isRetired(), fmt.Errorf("%w: %w", errNotSent, err)
 		}
-		return nil, nil, err
+		return nil, nil, false, err
+	}
+	if conn != nil && isRefusal(resp) {
+		conn.retire()
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return nil, nil, fmt.Errorf("read response: %w", err)
+		return nil, nil, false, fmt.Errorf("read response: %w", err)
 	}
 	if len(b) > 0 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return nil, nil, errNoBodyLength
+		return nil, nil, false, errNoBodyLength
 	}
-	return resp, b, nil
+	return resp, b, false, nil
+}
+
+// isRefusal reports whether a target refused a request that it did not run.
+func isRefusal(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusPreconditionFailed && resp.Header.Get(proto.HeaderOutcome) == string(proto.NotRun)
 }
 
 // errNoBodyLength reports a response that is delimited only by the end of the
--- a/route/own.go
+++ b/route/own.go
@@ -122,7 +122,7 @@
 		return exchangeFailure(err, ReasonNoTarget), err
 	case int64(len(body)) > limit:
 		return unknown(ReasonResponseTooLarge), nil
-	case resp.StatusCode == http.StatusPreconditionFailed && resp.Header.Get(proto.HeaderOutcome) == string(proto.NotRun):
+	case isRefusal(resp):
 		return notRun(ReasonNoLease, http.StatusServiceUnavailable), errNoLease
 	}
 	return Result{
