platform: refuse heartbeats with numbers out of any proportion

Here nodes read no list of targets; a target is known by its heartbeats and the records of nodes. A heartbeat with a sequence of 2^64-1, or a start in the far future, was accepted, and each one of the real target counted as stale from then on, so that it lost its keys. One with 9e18 slots would have drawn all keys.

Change: bounds for slots, sequence, start and warm-up; such a heartbeat is refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -132,7 +132,7 @@
 
 // targetHandler returns the handler for the target's heartbeats.
 func (a *Agent) targetHandler() http.Handler {
-	return platform.TargetHandler(a.fleet, a.settings.Target.Service, func(id string, reason error) {
+	return platform.TargetHandler(a.fleet, a.settings.Target.Service, a.clock, func(id string, reason error) {
 		a.inputErrors.report(context.Background(), eventHeartbeatRefused, id, reason)
 	})
 }
--- a/emul/ledger.go
+++ b/emul/ledger.go
@@ -75,6 +75,13 @@
 	return l.read[key]
 }
 
+// Value returns a copy of a record's value.
+func (l *Ledger) Value(key string) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.items[key].Value)
+}
+
 // countRead counts the values of records that a client reads. The lock is held.
 func (l *Ledger) countRead(items ...store.Item) {
 	for _, it := range items {
