soak: leave half of the nodes without the store, and let targets name limits

The check of CONFIG only asked that a process does not go back, the store was away for all nodes or one path at a time, and each node had a data centre of its own, so that none relied on a relay. Nothing named limits or told of a departure in responses.

New promises: rules are in force in time on nodes that the store serves, LIMIT, and DRAIN from responses on.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"burdocklift/emul"
+	"burdocklift/platform/stand"
 )
 
 // Runner plays a schedule of faults against a site.
@@ -80,7 +81,7 @@
 	for wait(ctx, r.between(200, 2500)) {
 		m := r.site.machines[r.rng.IntN(len(r.site.machines))]
 		d := r.between(300, 5000)
-		switch step := r.rng.IntN(15); step {
+		switch step := r.rng.IntN(19); step {
 		case 0:
 			d *= 2 // up to 10 s, so that others take over the keys of a target that runs on
 			r.note(d+restartSlack, "kill %s for %v", m.name, d)
@@ -104,10 +105,12 @@
 			m.Signal(syscall.SIGHUP)
 		case 5:
 			r.note(d, "store down for %v", d)
+			r.unserveAll(d)
 			r.setStore(func(f *emul.LedgerFaults) { f.Down = true })
 			r.later(ctx, d, func() { r.setStore(func(f *emul.LedgerFaults) { f.Down = false }) })
 		case 6:
 			r.note(d, "store loses answers for %v", d)
+			r.unserveAll(d)
 			late := rand.New(rand.NewPCG(r.rng.Uint64(), 0))
 			r.setStore(func(f *emul.LedgerFaults) {
 				f.Lost = func() (bool, time.Duration) {
@@ -117,6 +120,7 @@
 			r.later(ctx, d, func() { r.setStore(func(f *emul.LedgerFaults) { f.Lost = nil }) })
 		case 7:
 			r.note(0, "store forgets history and leases")
+			r.unserveAll(0)
 			r.site.ledger.Compact()
 			r.site.ledger.Lapse()
 		case 8, 9:
@@ -126,6 +130,7 @@
 				p, what = m.stored, "store"
 			}
 			r.note(d, "path between %s and %s disturbed (%d) for %v", m.name, what, how, d)
+			m.Unserve(d)
 			if p == m.peers {
 				m.Disturb(d)
 			}
@@ -145,11 +150,18 @@
 			})
 		case 12:
 			r.note(drainTime+lingerTime+restartSlack, "target of %s leaves", m.name)
-			r.later(ctx, 0, func() { r.replaceTarget(ctx, m) })
+			r.later(ctx, 0, func() { r.replaceTarget(ctx, m, (*stand.Target).Drain) })
 		case 13:
 			r.report("new rules")
 			r.site.PutRules()
-		case 14:
+		case 14, 15:
+			r.silenceSome(ctx, d)
+		case 16:
+			r.limitTarget(ctx, m, d+limitWindow+contactTime)
+		case 17:
+			r.note(drainTime+lingerTime+restartSlack, "target of %s leaves, as its responses tell", m.name)
+			r.later(ctx, 0, func() { r.replaceTarget(ctx, m, (*stand.Target).Leave) })
+		case 18:
 			r.note(d+restartSlack, "all nodes killed for %v", d)
 			for _, m := range r.site.machines {
 				m.Disturb(d + restartSlack)
@@ -191,13 +203,62 @@
 // lingerTime is how much longer than it has to a target that leaves serves.
 const lingerTime = 2500 * time.Millisecond
 
-// replaceTarget lets a target leave in good order and starts another one.
-func (r *Runner) replaceTarget(ctx context.Context, m *Machine) {
+// unserveAll notes that the store does not serve any machine for a time.
+func (r *Runner) unserveAll(d time.Duration) {
+	for _, m := range r.site.machines {
+		m.Unserve(d)
+	}
+}
+
+// silenceSome leaves about half of the nodes without an answer of the store and changes the
+// rules meanwhile.
+func (r *Runner) silenceSome(ctx context.Context, d time.Duration) {
+	var some []*Machine
+	names := ""
+	for _, m := range r.site.machines {
+		if r.rng.IntN(2) == 0 {
+			some, names = append(some, m), names+" "+m.name
+		}
+	}
+	r.note(d, "store silent to%s for %v, new rules", names, d)
+	change := r.between(0, 1500)
+	for _, m := range some {
+		m.Unserve(d)
+		m.stored.Set(Silence)
+	}
+	r.later(ctx, change, r.site.PutRules)
+	r.later(ctx, d, func() {
+		for _, m := range some {
+			m.stored.Set(Calm)
+		}
+	})
+}
+
+// limitTarget makes a target name a limit for a time, as the first one of its life.
+func (r *Runner) limitTarget(ctx context.Context, m *Machine, d time.Duration) {
+	limit := float64(2 + r.rng.IntN(10))
+	t := m.Target()
+	if t == nil || !m.limitOnce(t) {
+		return
+	}
+	r.report(fmt.Sprintf("target of %s names a limit of %.0f a second for %v", m.name, limit, d))
+	r.site.advice.Limited(t, limit)
+	t.Limit(limit)
+	r.later(ctx, d, func() {
+		r.site.advice.Unlimited(t)
+		t.Limit(0)
+	})
+}
+
+// replaceTarget lets a target leave in good order, which it tells in some way, and starts
+// another one.
+func (r *Runner) replaceTarget(ctx context.Context, m *Machine, leave func(*stand.Target)) {
 	t := m.Target()
 	if t == nil {
 		return
 	}
-	t.Drain()
+	leave(t)
+	r.site.advice.Leaving(t)
 	wait(ctx, drainTime+lingerTime)
 	m.CrashTarget()
 	r.startTarget(m)
--- a/soak/load.go
+++ b/soak/load.go
@@ -118,6 +118,7 @@
 	newest := r.site.Version()
 	version := max(2, newest-rng.IntN(2))
 	r.check.Sends(id, true)
+	sent := time.Now()
 	a, err := r.send(ctx, client, m, "GET", fmt.Sprintf("/v%d/x", version), id, -1)
 	if err != nil || p == nil || p != m.Process() {
 		return
@@ -125,6 +126,9 @@
 	switch a.Status {
 	case http.StatusNotFound:
 		r.check.Rules(m.name, version, false, &p.known)
+		if due := r.site.Written(version); m.Served(due, sent) && sent.Sub(due) > applyTime+applySlack {
+			r.check.Breaks("CONFIG", "%s denies a route of version %d %v after it was written", m.name, version, sent.Sub(due))
+		}
 	case http.StatusOK:
 		r.check.Rules(m.name, version, true, &p.known)
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -180,8 +180,10 @@
 	endLoad()
 	group.Wait()
 	left, lasting, late := site.left.Check(check, (*Machine).Disturbed)
-	printf(out, "seed %d: %d nodes, %v of faults, %v in all, answers %v; callers left %d requests, %d of them long, %d late\n",
-		o.Seed, o.Nodes, o.Time, time.Since(check.began).Round(time.Second), check.Counts(), left, lasting, late)
+	limited, most := site.advice.Check(check)
+	printf(out, "seed %d: %d nodes, %v of faults, %v in all, answers %v; callers left %d requests, %d of them long, %d late; "+
+		"%d limits, %.2f of one used\n",
+		o.Seed, o.Nodes, o.Time, time.Since(check.began).Round(time.Second), check.Counts(), left, lasting, late, limited, most)
 	return check.Broken(), check.Notes(), ctx.Err()
 }
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -44,6 +44,7 @@
 	// contactTime is how long a machine counts as disturbed afterwards.
 	contactTime = 3 * time.Second
 	longEvery   = 12 // one request in so many takes over half a second
+	dataCentres = 3
 )
 
 // runs is the number of sites that this process has started.
@@ -59,6 +60,7 @@
 	rng    *rand.Rand // of service times
 	rngMu  sync.Mutex
 	left   Departures
+	advice Advice
 
 	machines []*Machine
 
@@ -68,24 +70,28 @@
 
 	mu      sync.Mutex
 	version int
-	targets int // started so far
+	written map[int]time.Time // when each version was written
+	targets int               // started so far
 }
 
 // Machine is a node, its target and the proxies around them.
 type Machine struct {
-	site    *Site
-	name    string
-	ip      string
-	service string
-	peers   *Proxy // calls of other nodes
-	stored  *Proxy // calls to the store
+	site       *Site
+	name       string
+	dataCentre string
+	ip         string
+	service    string
+	peers      *Proxy // calls of other nodes
+	stored     *Proxy // calls to the store
 
 	starting sync.Mutex // one start at a time
 
 	mu        sync.Mutex
 	process   *Process
 	target    *stand.Target
-	disturbed []period // in the order of their begin
+	disturbed []period      // in the order of their begin
+	unserved  []period      // without the store, as disturbed
+	limited   *stand.Target // that named a limit last
 }
 
 // period is a time from one moment to another.
@@ -103,7 +109,7 @@
 // NewSite starts stand-ins and nodes.
 func NewSite(binary, dir string, nodes int, seed uint64, plant string, check *Checker) (*Site, error) {
 	s := &Site{
-		binary: binary, dir: dir, check: check, ledger: emul.NewLedger(storeTime), version: 1,
+		binary: binary, dir: dir, check: check, ledger: emul.NewLedger(storeTime), version: 1, written: make(map[int]time.Time),
 		rng: rand.New(rand.NewPCG(seed, 1)),
 	}
 	// Runs at the same time use other addresses.
@@ -119,7 +125,7 @@
 	go func() { _ = s.store.Serve(l) }() // ends with Close
 	s.PutRules()
 	for i := range nodes {
-		m := &Machine{site: s, name: fmt.Sprintf("n-%02d", i), ip: strings.Split(address(i, 0), ":")[0], service: desk}
+		m := &Machine{site: s, name: fmt.Sprintf("n-%02d", i), dataCentre: fmt.Sprint("dc-", i*dataCentres/nodes), ip: strings.Split(address(i, 0), ":")[0], service: desk}
 		if i%2 == 1 {
 			m.service = archive
 		}
@@ -147,6 +153,11 @@
 	s.version++
 	version := s.version
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.written[version] = time.Now()
+	}()
 	routes := []stand.Route{
 		{Prefix: "/look/", Service: desk, Idempotent: true},
 		{Prefix: "/pay/", Service: desk},
@@ -200,7 +211,7 @@
 stop = %q
 ratio = 0.2
 slack = 60
-`, m.name, "dc-"+m.name[len(m.name)-1:], m.at(portStore), m.service, m.at(portTarget), m.ip, called, m.at(portCaller),
+`, m.name, m.dataCentre, m.at(portStore), m.service, m.at(portTarget), m.ip, called, m.at(portCaller),
 		m.at(portReady), m.at(portBeat), portPeer, portLast, drainTime, stopTime)
 	return os.WriteFile(m.settings(), []byte(text), 0o600)
 }
@@ -213,6 +224,39 @@
 	m.disturbed = append(m.disturbed, period{time.Now(), time.Now().Add(d + contactTime)})
 }
 
+// Unserve notes that the store does not serve the machine for a time from now on.
+func (m *Machine) Unserve(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unserved = append(m.unserved, period{time.Now(), time.Now().Add(d + contactTime)})
+}
+
+// Served reports whether the machine was not disturbed and served by the store at all moments
+// of a time.
+func (m *Machine) Served(from, to time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	overlaps := func(p period) bool { return p.from.Before(to) && from.Before(p.to) }
+	return !slices.ContainsFunc(m.disturbed, overlaps) && !slices.ContainsFunc(m.unserved, overlaps)
+}
+
+// Written returns when a version of the rules was written.
+func (s *Site) Written(version int) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.written[version]
+}
+
+// Entry returns the machine whose node a caller sent a request to.
+func (s *Site) Entry(id string) *Machine {
+	for _, m := range s.machines {
+		if strings.Contains(id, m.name+"-") {
+			return m
+		}
+	}
+	return nil
+}
+
 // Disturbed reports whether the machine was disturbed at some moment of a time.
 func (m *Machine) Disturbed(from, to time.Time) bool {
 	m.mu.Lock()
@@ -318,8 +362,8 @@
 	t, err := stand.Start(stand.Config{
 		ID: id, StartedAt: time.Now(), Service: m.service, Slots: slots, Sharded: m.service == desk, Address: m.at(portTarget),
 		Node: m.at(portBeat), WorkTime: s.Work,
-		OnExecution:   func(t *stand.Target, e stand.Execution) { s.check.Began(t, e); s.left.Began(m, e) },
-		OnEnd:         func(_ *stand.Target, e stand.Execution) { s.left.Ended(e) },
+		OnExecution:   func(t *stand.Target, e stand.Execution) { s.check.Began(t, e); s.left.Began(m, e); s.began(t, e) },
+		OnEnd:         func(t *stand.Target, e stand.Execution) { s.left.Ended(e); s.ended(t, e) },
 		OnHoldsChange: s.check.Held, Fault: plantTarget(plant),
 	})
 	if err != nil {
@@ -331,6 +375,18 @@
 	return nil
 }
 
+func (s *Site) began(t *stand.Target, e stand.Execution) {
+	if m := s.Entry(e.ID); m != nil {
+		s.advice.Began(s.check, t, e.ID, m)
+	}
+}
+
+func (s *Site) ended(t *stand.Target, e stand.Execution) {
+	if m := s.Entry(e.ID); m != nil {
+		s.advice.Ended(t, m)
+	}
+}
+
 // Target returns the present life of the target, or nil.
 func (m *Machine) Target() *stand.Target {
 	m.mu.Lock()
@@ -338,6 +394,15 @@
 	return m.target
 }
 
+// limitOnce reports whether a target has not named a limit before.
+func (m *Machine) limitOnce(t *stand.Target) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first := m.limited != t
+	m.limited = t
+	return first
+}
+
 // CrashTarget ends the target without a word. None is started before its address is
 // free again.
 func (m *Machine) CrashTarget() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 	binary := build(t)
 	for name, o := range map[string]Options{
 		"faults": {Seed: seed, Time: 12 * time.Second, Nodes: 5},
+		"store silent to some nodes, and limits": {Seed: 20261205, Time: 15 * time.Second, Nodes: 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o.Binary = binary
@@ -52,12 +53,16 @@
 func TestPlantsAreFound(t *testing.T) {
 	binary := build(t)
 	for plant, promises := range map[string][]string{
-		"resend": {"TWICE"}, "truncate": {"MIXED"}, "linger": {"GONE"},
+		"resend": {"TWICE"}, "truncate": {"MIXED"}, "linger": {"GONE"}, "late": {"CONFIG"}, "limit": {"LIMIT"},
 		"refuse": {"REFUSED", "TWICE"}, // the node may repeat what is said not to have run
 	} {
 		t.Run(plant, func(t *testing.T) {
 			t.Parallel()
-			out, err := soak(t, Options{Binary: binary, Seed: seed, Time: 5 * time.Second, Nodes: 4, Plant: plant})
+			faults := 5 * time.Second
+			if plant == "late" || plant == "limit" { // a change or a limit has to come up, and then time to pass
+				faults = 10 * time.Second
+			}
+			out, err := soak(t, Options{Binary: binary, Seed: seed, Time: faults, Nodes: 4, Plant: plant})
 			named := func(promise string) bool { return strings.Contains(out, promise+": ") }
 			if !errors.Is(err, errBroken) || !slices.ContainsFunc(promises, named) {
 				t.Errorf("error is %v, want one of %v to be broken", err, promises)
