spread: find changes that the store tells none of the relays

Its relays are the first two hosts of each data centre by rendezvous order, whether the store answers them or not. A single served relay is enough there, as relays announce to each other.

Change: hosts that are not relays read one of the two documents now and then, at random, one host of the whole fleet every 0.25 s, so that the store's load does not grow with the fleet. What they find they announce to the first relays.

--- a/node/spread.go
+++ b/node/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -81,6 +82,24 @@
 	})
 }
 
+// getTimeout bounds the reading of one record.
+const getTimeout = 2 * time.Second
+
+// Get implements spread.Effects.
+func (c *Control) Get(key string) {
+	c.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, getTimeout)
+		defer cancel()
+		r, err := c.store.Get(ctx, key)
+		if err == nil {
+			c.Do(c.ctx, func(_ *owner.Core, now time.Time, _ owner.Effects) { c.engine.Watched(now, r, c) })
+		}
+		if !errors.Is(err, store.ErrNotFound) {
+			c.called(c.ctx, err)
+		}
+	})
+}
+
 // Apply implements spread.Effects.
 func (c *Control) Apply(r store.Record) { c.core.Observe(c.clock.Now(), r, c) }
 
--- a/spread/engine.go
+++ b/spread/engine.go
@@ -30,6 +30,9 @@
 	// firstListInterval and doubles the interval up to listInterval.
 	listInterval      = 30 * time.Second
 	firstListInterval = time.Second
+	// checkInterval is the mean time between two reads of a document by hosts that are not
+	// relays, over the whole fleet. They find a change that the store tells none of the relays.
+	checkInterval = 250 * time.Millisecond
 	// gossipInterval is the upper bound of the random delay after which a
 	// node announces the versions that are new to it, and gossipFanout the
 	// number of random hosts of its data centre that it announces them to.
@@ -76,6 +79,8 @@
 	Unwatch(key string)
 	// List reads all records; the result is passed to Listed.
 	List()
+	// Get reads a record; a result is passed to Watched.
+	Get(key string)
 	// Apply receives a record that is newer than all earlier ones of its key.
 	Apply(r store.Record)
 	// Configured receives the configuration documents after a change of their
@@ -123,6 +128,7 @@
 	pending         map[string]pendingFetch
 	gossipPairs     []proto.Pair // learned since the last announcement to random hosts
 	nextGossip      time.Time
+	nextCheck       time.Time
 	documents       Documents
 	ready           bool
 }
@@ -223,12 +229,13 @@
 	}
 }
 
-// announce informs the first relays of the other data centres of a version read
-// from the store. They fetch it only if it does not arrive by push.
+// announce informs the first relays of the other data centres, and that of its own if this
+// host is no relay, of a version read from the store. They fetch it only if it does not
+// arrive by push.
 func (e *Engine) announce(r store.Record, fx Effects) {
 	m := proto.Pairs{Have: []proto.Pair{{Key: r.Key, Index: r.Index}}}
 	for _, s := range e.layout.dataCentres {
-		if s.place.DataCentre != e.cfg.Place.DataCentre {
+		if s.place.DataCentre != e.cfg.Place.DataCentre || !e.isRelay {
 			fx.Send(s.relays[0], m)
 		}
 	}
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -58,6 +58,7 @@
 	place   proto.Place
 	engine  *Engine
 	dead    bool
+	silent  bool // the store does not answer this node
 	watches map[string]uint64
 	applied map[string]uint64
 	docs    Documents
@@ -196,7 +197,7 @@
 	if p.dead || !ok {
 		return
 	}
-	if p.f.partitioned(p.place.DataCentre, "store") {
+	if p.silent || p.f.partitioned(p.place.DataCentre, "store") {
 		p.f.after(time.Second, func() { p.returnWatch(key) })
 		return
 	}
@@ -226,7 +227,7 @@
 func (p *peer) List() {
 	p.f.storeCalls++
 	p.f.after(p.latency("store", "r0"), func() {
-		if p.f.partitioned(p.place.DataCentre, "store") {
+		if p.silent || p.f.partitioned(p.place.DataCentre, "store") {
 			p.engine.Listed(p.f.now, nil, store.ErrUnavailable, p)
 			return
 		}
@@ -234,6 +235,16 @@
 	})
 }
 
+func (p *peer) Get(key string) {
+	p.f.storeCalls++
+	p.f.after(p.latency("store", "r0"), func() {
+		versions := p.f.records[key]
+		if !p.dead && !p.silent && !p.f.partitioned(p.place.DataCentre, "store") && len(versions) > 0 {
+			p.engine.Watched(p.f.now, versions[len(versions)-1], p)
+		}
+	})
+}
+
 // Apply fails the test if a node reverts to an older version.
 func (p *peer) Apply(r store.Record) {
 	if r.Index <= p.applied[r.Key] {
--- a/spread/size_test.go
+++ b/spread/size_test.go
@@ -56,6 +56,7 @@
 func (*countingEffects) Watch(string, uint64) {}
 func (*countingEffects) Unwatch(string)       {}
 func (*countingEffects) List()                {}
+func (*countingEffects) Get(string)           {}
 func (*countingEffects) Apply(store.Record)   {}
 func (*countingEffects) Configured(Documents) {}
 
--- a/spread/timer.go
+++ b/spread/timer.go
@@ -15,6 +15,25 @@
 	e.listPeriodically(now, fx)
 	e.sendDigests(now, fx)
 	e.gossip(now, fx)
+	e.checkDocuments(now, fx)
+}
+
+// checkDocuments reads a document from the store now and then on a host that is not a relay.
+func (e *Engine) checkDocuments(now time.Time, fx Effects) {
+	if now.Before(e.nextCheck) || !e.ready {
+		return
+	}
+	hosts := 0
+	for _, s := range e.layout.dataCentres {
+		hosts += len(s.hosts)
+	}
+	first := e.nextCheck.IsZero()
+	e.nextCheck = now.Add(time.Duration(e.cfg.Rand.Int64N(2 * int64(max(hosts, 1)) * int64(checkInterval))))
+	if first || e.isRelay {
+		return
+	}
+	keys := slices.Sorted(maps.Keys(documentKinds))
+	fx.Get(keys[e.cfg.Rand.IntN(len(keys))])
 }
 
 // gossip announces new versions to random hosts of the data centre, so that
