--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,7 +37,7 @@
 func TestShortSoak(t *testing.T) {
 	binary := build(t)
 	for name, o := range map[string]Options{
-		"faults": {Seed: seed, Time: 12 * time.Second, Nodes: 5},
+		"faults":                                 {Seed: seed, Time: 12 * time.Second, Nodes: 5},
 		"store silent to some nodes, and limits": {Seed: 20261205, Time: 15 * time.Second, Nodes: 6},
 	} {
 		t.Run(name, func(t *testing.T) {
