serve: put limits in force in the order in which they were named

Found on rereading: two responses that arrive together could set the rate of starts in another order than that in which they changed the limit. The rate then stayed wrong, in the worst case none, until the target named another limit.

Change: the rate is set while the limit is locked.

--- a/serve/advice.go
+++ b/serve/advice.go
@@ -38,10 +38,11 @@
 	return true
 }
 
-// follow applies what a response says to a request that was sent at a time, and reports
-// whether the limit has changed. A response without a limit ends it only if the request
-// was sent after the last response that named it, as responses overtake each other.
-func (l *targetLimit) follow(a Advice, sent, now time.Duration) (rate float64, changed bool) {
+// follow applies what a response says to a request that was sent at a time. If that changes
+// the limit, it calls a function before any further change, and returns true. A response
+// without a limit ends it only if the request was sent after the last response that named
+// it, as responses overtake each other.
+func (l *targetLimit) follow(a Advice, sent, now time.Duration, apply func(rate float64)) (rate float64, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := l.rate
@@ -52,7 +53,11 @@
 	case sent > l.namedAt:
 		l.rate = 0
 	}
-	return l.rate, l.rate != before
+	if l.rate == before {
+		return l.rate, false
+	}
+	apply(l.rate)
+	return l.rate, true
 }
 
 // leastLimit stands for a limit of zero, which would read as none. Per second.
@@ -68,8 +73,8 @@
 	current := r.incarnation == inc
 	r.mu.Unlock()
 	if current {
-		if rate, changed := r.limit.follow(a, sent, now); changed {
-			r.admission.SetRate(rate, now)
+		setRate := func(rate float64) { r.admission.SetRate(rate, now) }
+		if rate, changed := r.limit.follow(a, sent, now, setRate); changed {
 			eventTargetLimited.Log(ctx, r.cfg.Log, slog.String("target", inc.Target), slog.Float64("limit", rate))
 			// An error means that the fleet's control loop, and with it the node, has ended.
 			_ = r.cfg.Fleet.SetTargetLimit(ctx, inc, rate)
