--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -128,6 +128,7 @@
 	f.revoker.revocations = make(map[string]*revocation)
 	f.packed = make(map[string]packedItem)
 	f.election.candidates = make(map[string]time.Duration)
+	f.election.electors = make(map[string]bool)
 	f.planner.init(now)
 	f.publish()
 	cfg.Peers.Handle(MethodReport, f.handleReport)
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -41,6 +41,7 @@
 	Answered       int              `cbor:"5,keyasint,omitempty"` // requests that the target answered since the last report
 	ServiceSeconds float64          `cbor:"6,keyasint,omitempty"` // seconds that the target spent on them
 	MayRelay       bool             `cbor:"8,keyasint,omitempty"` // the store answers the sender reliably
+	Elects         bool             `cbor:"9,keyasint,omitempty"` // the sender knows MethodResign, which nodes of earlier versions do not
 }
 
 type reportReply struct {
@@ -163,6 +164,7 @@
 		f.planner.receiveReport(r, now)
 		f.peerRevs[r.Name] = r.Rev
 		reply.Relays = f.relaysReliably(now)
+		f.election.electors[r.Name] = r.Elects
 		if delete(f.election.candidates, r.Name); r.MayRelay && f.members[r.Name].DataCentre == f.cfg.DataCentre {
 			f.election.candidates[r.Name] = now
 		}
@@ -196,7 +198,7 @@
 // takeReport returns the next report, if wanted with the load since the last one that had
 // it.
 func (f *Fleet) takeReport(ctx context.Context, withLoad bool) Report {
-	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed())}
+	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed()), Elects: true}
 	// An error means that the loop has ended.
 	_ = f.post(ctx, func(time.Duration) { r.Rev = f.knownRev })
 	if !withLoad {
