fleet: send no compressed records to nodes of earlier versions

Found on rereading: a node of an earlier version skips the compressed records in the changes of a newer relay, and counts their revision as known. While the nodes of a site are replaced one after the other, it would have missed long rules until their next change. It also sends no age, which read as one of zero.

Change: reports and copies carry the version of these calls. Compressed records and resignations go to nodes that know them; the others read a long record from the store, as before. A missing age says nothing.

--- a/fleet/age.go
+++ b/fleet/age.go
@@ -15,13 +15,18 @@
 // age returns the time since the store last confirmed what this node knows.
 func (fr *freshness) age(now time.Duration) time.Duration { return now - fr.confirmedAt }
 
+// ageMs returns the age in milliseconds for other nodes, at least 1, as those of earlier
+// versions send none.
+func (fr *freshness) ageMs(now time.Duration) int64 { return max(fr.age(now).Milliseconds(), 1) }
+
 // confirm records that nothing was newer than what this node knows at a time.
 func (fr *freshness) confirm(at time.Duration) { fr.confirmedAt = max(fr.confirmedAt, at) }
 
-// confirmThrough records the age of what another node knows, if this node knows as much.
-func (f *Fleet) confirmThrough(rev uint64, age, now time.Duration) {
-	if f.knownRev >= rev {
-		f.freshness.confirm(now - age)
+// confirmThrough records the age of what another node knows, in milliseconds or 0 if it did
+// not say, if this node knows as much.
+func (f *Fleet) confirmThrough(rev uint64, ageMs int64, now time.Duration) {
+	if ageMs > 0 && f.knownRev >= rev {
+		f.freshness.confirm(now - time.Duration(ageMs)*time.Millisecond)
 	}
 }
 
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -22,7 +22,8 @@
 )
 
 type copyRequest struct {
-	After uint64 `cbor:"1,keyasint"` // revision up to which the caller knows all records
+	After   uint64 `cbor:"1,keyasint"`           // revision up to which the caller knows all records
+	Version uint8  `cbor:"2,keyasint,omitempty"` // protocolVersion of the caller
 }
 
 type copyReply struct {
@@ -44,19 +45,18 @@
 		_ = f.post(ctx, func(time.Duration) { after = f.knownRev })
 		address := others[f.copyCursor%len(others)]
 		callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
-		r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, copyRequest{After: after})
+		r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, copyRequest{After: after, Version: protocolVersion})
 		cancel()
 		if err == nil {
 			r.Items, err = unpackAll(r.Items, r.Packed)
 		}
 		if err == nil {
-			age := time.Duration(r.AgeMs) * time.Millisecond
 			// An error means that the loop has ended.
 			_ = f.post(ctx, func(now time.Duration) {
 				f.applyChanges(r.Items, r.Rev, fromCopy)
-				f.confirmThrough(r.Rev, age, now)
+				f.confirmThrough(r.Rev, r.AgeMs, now)
 			})
-			if age <= maxRelayAge+relayReportInterval {
+			if age := time.Duration(r.AgeMs) * time.Millisecond; age <= maxRelayAge+relayReportInterval {
 				return
 			}
 		}
@@ -90,10 +90,10 @@
 	var r copyReply
 	var b batch
 	err := f.post(ctx, func(now time.Duration) {
-		r.Rev, r.AgeMs = f.knownRev, f.freshness.age(now).Milliseconds()
+		r.Rev, r.AgeMs = f.knownRev, f.freshness.ageMs(now)
 		for _, it := range f.items {
 			if it.Rev > c.After {
-				f.addToBatch(&b, it)
+				f.addToBatch(&b, it, c.Version > 0)
 			}
 		}
 		r.Items, r.Packed = b.items, b.packed
--- a/fleet/elect.go
+++ b/fleet/elect.go
@@ -38,7 +38,6 @@
 // election is the state of the choice of a relay. It is owned by the loop.
 type election struct {
 	candidates map[string]time.Duration // nodes of the data centre that may relay, by name: time of the last report
-	electors   map[string]bool          // nodes that can be told of a resignation
 	hint       string                   // node that is asked first
 	since      time.Duration            // when this node became a relay
 }
@@ -154,7 +153,7 @@
 			return
 		}
 		for name, m := range f.members {
-			if m.Revoked || m.DataCentre != f.cfg.DataCentre || name == f.cfg.Name || !f.election.electors[name] {
+			if m.Revoked || m.DataCentre != f.cfg.DataCentre || name == f.cfg.Name || f.versions[name] == 0 {
 				continue
 			}
 			others = append(others, m)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -88,6 +88,7 @@
 	// peerRevs is the revision up to which each other node knows all records.
 	peerRevs     map[string]uint64
 	packed       map[string]packedItem // compressed records that were passed on, by key
+	versions     map[string]uint8      // protocolVersion of other nodes, by name
 	relaying     map[string]bool       // nodes to which a call with changes is in flight
 	rangeChanges map[string]*rangeChange
 	members      map[string]Member
@@ -128,7 +129,7 @@
 	f.revoker.revocations = make(map[string]*revocation)
 	f.packed = make(map[string]packedItem)
 	f.election.candidates = make(map[string]time.Duration)
-	f.election.electors = make(map[string]bool)
+	f.versions = make(map[string]uint8)
 	f.planner.init(now)
 	f.publish()
 	cfg.Peers.Handle(MethodReport, f.handleReport)
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -65,7 +65,7 @@
 // revision.
 func (f *Fleet) changesFor(node string, after uint64, now time.Duration) (changeSet, bool) {
 	var b batch
-	n := changeSet{After: after, Rev: f.knownRev, AgeMs: f.freshness.age(now).Milliseconds()}
+	n := changeSet{After: after, Rev: f.knownRev, AgeMs: f.freshness.ageMs(now)}
 	for key, it := range f.items {
 		if it.Rev <= after {
 			continue
@@ -76,7 +76,7 @@
 				continue
 			}
 		}
-		f.addToBatch(&b, it)
+		f.addToBatch(&b, it, f.versions[node] > 0)
 	}
 	n.Items, n.Packed, n.Large = b.items, b.packed, b.large
 	return n, len(n.Items)+len(n.Packed)+len(n.Large) > 0
@@ -145,7 +145,7 @@
 		if n.After <= f.knownRev {
 			f.knownRev = max(f.knownRev, n.Rev)
 		}
-		f.confirmThrough(n.Rev, time.Duration(n.AgeMs)*time.Millisecond, now)
+		f.confirmThrough(n.Rev, n.AgeMs, now)
 		f.relayHeardAt = now
 		reply.Rev = f.knownRev
 	})
--- a/fleet/pack.go
+++ b/fleet/pack.go
@@ -74,11 +74,16 @@
 	large  []string // keys of records that are not passed on
 }
 
-// addToBatch adds a record. Compressed records are kept for the next node.
-func (f *Fleet) addToBatch(b *batch, it store.Item) {
-	if len(it.Value) <= maxInlineBytes {
+// addToBatch adds a record for a node that may know compressed records. Those are kept for
+// the next node.
+func (f *Fleet) addToBatch(b *batch, it store.Item, packs bool) {
+	switch {
+	case len(it.Value) <= maxInlineBytes:
 		b.items = append(b.items, it)
 		return
+	case !packs:
+		b.large = append(b.large, it.Key)
+		return
 	}
 	p, ok := f.packed[it.Key]
 	if !ok || p.Rev != it.Rev {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -11,6 +11,10 @@
 	"burdocklift/span"
 )
 
+// protocolVersion is the version of the calls between nodes of this package: 1 has
+// MethodResign, compressed records and ages, which nodes of version 0 do not know.
+const protocolVersion = 1
+
 // MethodReport is the call by which a node tells the planning node and its relay that it
 // is alive, and the load of its keys.
 const MethodReport peer.Method = 1
@@ -41,7 +45,7 @@
 	Answered       int              `cbor:"5,keyasint,omitempty"` // requests that the target answered since the last report
 	ServiceSeconds float64          `cbor:"6,keyasint,omitempty"` // seconds that the target spent on them
 	MayRelay       bool             `cbor:"8,keyasint,omitempty"` // the store answers the sender reliably
-	Elects         bool             `cbor:"9,keyasint,omitempty"` // the sender knows MethodResign, which nodes of earlier versions do not
+	Version        uint8            `cbor:"9,keyasint,omitempty"` // protocolVersion of the sender
 }
 
 type reportReply struct {
@@ -56,8 +60,6 @@
 	AgeMs  int64  `cbor:"6,keyasint,omitempty"` // since the store last confirmed that there is no newer record
 }
 
-func (r reportReply) age() time.Duration { return time.Duration(r.AgeMs) * time.Millisecond }
-
 // sendReports reports to the planning node once in an interval. The planning node is the
 // first node by name that answers and is served by the store.
 func (f *Fleet) sendReports(ctx context.Context) error {
@@ -128,7 +130,7 @@
 		if reply.Leads || reply.Relays {
 			f.relayHeardAt = now
 		}
-		f.confirmThrough(reply.Rev, reply.age(), now)
+		f.confirmThrough(reply.Rev, reply.AgeMs, now)
 	})
 	return reply, nil
 }
@@ -164,12 +166,12 @@
 		f.planner.receiveReport(r, now)
 		f.peerRevs[r.Name] = r.Rev
 		reply.Relays = f.relaysReliably(now)
-		f.election.electors[r.Name] = r.Elects
+		f.versions[r.Name] = r.Version
 		if delete(f.election.candidates, r.Name); r.MayRelay && f.members[r.Name].DataCentre == f.cfg.DataCentre {
 			f.election.candidates[r.Name] = now
 		}
 		f.changesPending = f.changesPending || r.Rev < f.knownRev
-		reply.Rev, reply.AgeMs = f.knownRev, f.freshness.age(now).Milliseconds()
+		reply.Rev, reply.AgeMs = f.knownRev, f.freshness.ageMs(now)
 	})
 	if err != nil {
 		return nil, err
@@ -198,7 +200,7 @@
 // takeReport returns the next report, if wanted with the load since the last one that had
 // it.
 func (f *Fleet) takeReport(ctx context.Context, withLoad bool) Report {
-	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed()), Elects: true}
+	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed()), Version: protocolVersion}
 	// An error means that the loop has ended.
 	_ = f.post(ctx, func(time.Duration) { r.Rev = f.knownRev })
 	if !withLoad {
