serve: put an inherited limit in force in order, too

Found on rereading: the limit of an earlier run's record was put in force after the lock was released, so that it could replace what a response had just named, until the target named another limit.

Test: serve.TestLimitAppliedInOrder has the record among the changes now.

--- a/serve/advice.go
+++ b/serve/advice.go
@@ -19,23 +19,25 @@
 	known   bool          // the target has answered this run of the node
 }
 
-// reset forgets the limit of an earlier incarnation.
-func (l *targetLimit) reset() {
+// reset forgets the limit of an earlier incarnation, and calls a function with the new one.
+func (l *targetLimit) reset(apply func(rate float64)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rate, l.namedAt, l.known = 0, 0, false
+	apply(0)
 }
 
 // inherit takes over the limit that an earlier run of the node recorded, until the target
-// has answered this one. It reports whether the limit has changed.
-func (l *targetLimit) inherit(rate float64, now time.Duration) bool {
+// has answered this one. If that changes the limit, it calls a function before any further
+// change.
+func (l *targetLimit) inherit(rate float64, now time.Duration, apply func(rate float64)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.known || rate == l.rate {
-		return false
+		return
 	}
 	l.rate, l.namedAt = rate, now
-	return true
+	apply(rate)
 }
 
 // follow applies what a response says to a request that was sent at a time. If that changes
--- a/serve/limit_test.go
+++ b/serve/limit_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against a limit in force that differs from the one that was named last, since
-// responses that arrive together change it at the same time.
+// responses that arrive together, and the record of an earlier run, change it at the same time.
 func TestLimitAppliedInOrder(t *testing.T) {
 	for range 200 {
 		var l targetLimit
@@ -16,11 +16,16 @@
 		var wg sync.WaitGroup
 		for i := range 8 {
 			wg.Go(func() {
-				a := Advice{Known: true, Limited: i%2 == 0, Limit: float64(1 + i)}
-				l.follow(a, time.Duration(i), time.Duration(i), func(rate float64) {
+				apply := func(rate float64) {
 					time.Sleep(time.Duration(rand.IntN(20)) * time.Microsecond)
 					applied = rate
-				})
+				}
+				if i == 7 {
+					l.inherit(100, time.Duration(i), apply)
+					return
+				}
+				a := Advice{Known: true, Limited: i%2 == 0, Limit: float64(1 + i)}
+				l.follow(a, time.Duration(i), time.Duration(i), apply)
 			})
 		}
 		wg.Wait()
--- a/serve/local.go
+++ b/serve/local.go
@@ -178,15 +178,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Elapsed()
+	setRate := func(rate float64) { r.admission.SetRate(rate, now) }
 	if r.incarnation != t.Incarnation {
 		r.incarnation = t.Incarnation
 		r.admission.SetSlots(t.Slots)
-		r.admission.SetRate(0, now)
-		r.limit.reset()
-	}
-	if r.limit.inherit(t.Limit, now) {
-		r.admission.SetRate(t.Limit, now)
+		r.limit.reset(setRate)
 	}
+	r.limit.inherit(t.Limit, now, setRate)
 }
 
 // awaitTarget waits until the local target may run the request. It returns a
