peer: send large answers in parts, at the rate of the host's link

Cause: the targets of a site of photographs send 150 Mbit/s over links of 10 Mbit/s.

A node tells that it accepts parts by a ping before its first call; earlier versions ignore that, and get replies whole, paced too. emul.Net can limit the link of a host.

--- a/emul/net.go
+++ b/emul/net.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,44 @@
 	listeners map[string]*listener
 	cuts      map[[2]string]bool
 	healed    chan struct{}
+	uplinks   map[string]*uplink // by host
+}
+
+// segment is how many bytes of one connection are in the queue of a link at most.
+const segment = 64 << 10
+
+// uplink is the outgoing link of a host, which sends in the order of arrival.
+type uplink struct {
+	rate      float64 // bytes per second
+	busyUntil time.Time
+}
+
+// SetUplink limits the outgoing link of a host to a rate in bytes per second. It must
+// be called before the host opens or accepts connections.
+func (n *Net) SetUplink(host string, rate float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.uplinks == nil {
+		n.uplinks = make(map[string]*uplink)
+	}
+	n.uplinks[host] = &uplink{rate: rate}
+}
+
+// queue puts bytes of a host into the queue of its link, and returns the time until
+// they have been sent.
+func (n *Net) queue(host string, bytes int) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	u := n.uplinks[host]
+	if u == nil {
+		return 0
+	}
+	now := time.Now()
+	if u.busyUntil.Before(now) {
+		u.busyUntil = now
+	}
+	u.busyUntil = u.busyUntil.Add(time.Duration(float64(bytes) / u.rate * float64(time.Second)))
+	return u.busyUntil.Sub(now)
 }
 
 // NewNet returns a network without hosts.
@@ -153,7 +192,7 @@
 	for {
 		cut, healed := p.net.cut(p.from, p.to)
 		if !cut {
-			return p.Conn.Write(b)
+			return p.send(b, late)
 		}
 		select {
 		case <-healed:
@@ -164,3 +203,28 @@
 		}
 	}
 }
+
+// send writes over the link of the host.
+func (p *path) send(b []byte, late <-chan time.Time) (int, error) {
+	sent := 0
+	for part := range slices.Chunk(b, segment) {
+		if wait := p.net.queue(p.from, len(part)); wait > 0 {
+			timer := time.NewTimer(wait)
+			select {
+			case <-timer.C:
+			case <-late:
+				timer.Stop()
+				return sent, os.ErrDeadlineExceeded
+			case <-p.closed:
+				timer.Stop()
+				return sent, net.ErrClosed
+			}
+		}
+		n, err := p.Conn.Write(part)
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
+}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gopkg.in/tomb.v2"
+
+	"burdocklift/uplink"
 )
 
 // conn is one connection. Only the side that opened it makes calls.
@@ -21,17 +23,24 @@
 
 	mu           sync.Mutex
 	lastStream   uint64                        // ID of the last call made
-	pending      map[uint64]chan []byte        // calls of this side
+	pending      map[uint64]*pendingCall       // calls of this side
 	cancels      map[uint64]context.CancelFunc // calls of the other side
 	lastReceived time.Duration                 // time of the last frame
 	lastSent     time.Duration                 // time of the last frame to the other side
 	pongPending  bool                          // a ping has not been answered yet
+	sendsParts   bool                          // the other side accepts replies in parts
+}
+
+// pendingCall is a call without a complete reply.
+type pendingCall struct {
+	reply chan []byte
+	parts []byte // of the reply
 }
 
 func newConn(raw net.Conn, t *Transport) *conn {
 	c := &conn{
 		raw: raw, transport: t, lastReceived: t.clock.Elapsed(), writeToken: make(chan struct{}, 1),
-		pending: make(map[uint64]chan []byte), cancels: make(map[uint64]context.CancelFunc),
+		pending: make(map[uint64]*pendingCall), cancels: make(map[uint64]context.CancelFunc),
 	}
 	c.tomb.Go(c.readLoop)
 	return c
@@ -70,12 +79,57 @@
 		c.close(err)
 		return err
 	}
+	if len(f.body) <= uplink.LargeBytes && f.kind != framePart {
+		c.transport.uplink.Count(len(f.body))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastSent = c.transport.clock.Elapsed()
 	return nil
 }
 
+// sendCall sends a call. A large one waits until the link is free for it.
+func (c *conn) sendCall(ctx context.Context, f frame) error {
+	if len(f.body) <= uplink.LargeBytes {
+		return c.send(ctx, f)
+	}
+	t := c.transport.uplink.Begin(len(f.body))
+	defer t.End()
+	if err := t.Await(ctx, len(f.body)); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return c.send(ctx, f)
+}
+
+// sendReply sends a reply. A large one is sent in parts as the link becomes free, and
+// no further once the context ends, as the caller has cancelled the call or the
+// connection is lost.
+func (c *conn) sendReply(ctx context.Context, f frame) error {
+	if len(f.body) <= uplink.LargeBytes {
+		return c.send(context.Background(), f)
+	}
+	c.mu.Lock()
+	inParts := c.sendsParts
+	c.mu.Unlock()
+	t := c.transport.uplink.Begin(len(f.body))
+	defer t.End()
+	rest := f.body
+	for inParts && len(rest) > uplink.ChunkBytes {
+		if err := t.Await(ctx, uplink.ChunkBytes); err != nil {
+			return err
+		}
+		if err := c.send(ctx, frame{kind: framePart, stream: f.stream, body: rest[:uplink.ChunkBytes]}); err != nil {
+			return err
+		}
+		rest = rest[uplink.ChunkBytes:]
+	}
+	if err := t.Await(ctx, len(rest)); err != nil {
+		return err
+	}
+	f.body = rest
+	return c.send(ctx, f)
+}
+
 func (c *conn) call(ctx context.Context, m Method, body []byte) ([]byte, error) {
 	reply := make(chan []byte, 1)
 	c.mu.Lock()
@@ -84,14 +138,14 @@
 	}
 	c.lastStream++
 	stream := c.lastStream
-	c.pending[stream] = reply
+	c.pending[stream] = &pendingCall{reply: reply}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
 		delete(c.pending, stream)
 		c.mu.Unlock()
 	}()
-	err := c.send(ctx, frame{kind: frameCall, method: m, stream: stream, body: body})
+	err := c.sendCall(ctx, frame{kind: frameCall, method: m, stream: stream, body: body})
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return nil, err
@@ -181,12 +235,14 @@
 		c.tomb.Go(func() error { c.serve(ctx, f); return nil })
 	case frameReply:
 		c.mu.Lock()
-		reply := c.pending[f.stream]
+		p := c.pending[f.stream]
 		delete(c.pending, f.stream)
 		c.mu.Unlock()
-		if reply != nil {
-			reply <- f.body
+		if p != nil {
+			p.reply <- append(p.parts, f.body...)
 		}
+	case framePart:
+		c.receivePart(f)
 	case frameCancel:
 		c.mu.Lock()
 		cancel := c.cancels[f.stream]
@@ -195,10 +251,30 @@
 			cancel()
 		}
 	case framePing:
+		if f.method&acceptsParts != 0 {
+			c.mu.Lock()
+			c.sendsParts = true
+			c.mu.Unlock()
+		}
 		c.answerPing()
 	}
 }
 
+// receivePart keeps a part of a reply, unless the call has been given up.
+func (c *conn) receivePart(f frame) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pending[f.stream]
+	if p == nil {
+		return
+	}
+	if len(p.parts)+len(f.body) > maxFrameBody {
+		c.close(fmt.Errorf("%w: reply of over %d bytes", errInvalidFrame, maxFrameBody))
+		return
+	}
+	p.parts = append(p.parts, f.body...)
+}
+
 // answerPing answers a ping without keeping readLoop from reading cancellations.
 // Pings that arrive before the answer is written share it.
 func (c *conn) answerPing() {
@@ -240,5 +316,5 @@
 		c.close(fmt.Errorf("handle method %d: %w", f.method, err))
 		return
 	}
-	_ = c.send(context.Background(), frame{kind: frameReply, stream: f.stream, body: reply}) // a failure closes the connection
+	_ = c.sendReply(ctx, frame{kind: frameReply, stream: f.stream, body: reply}) // a failure closes the connection
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -17,8 +17,13 @@
 	frameCancel
 	framePing
 	framePong
+	framePart // a piece of a reply that is not the last; only for nodes with acceptsParts
 )
 
+// acceptsParts is set in the method of a ping by nodes that know framePart. Earlier
+// versions ignore the method of a ping.
+const acceptsParts Method = 1
+
 // maxFrameBody bounds the body of a frame: the largest request body that rules
 // allow and its headers.
 const maxFrameBody = 80 << 20
@@ -57,7 +62,7 @@
 	if err != nil {
 		return frame{}, err
 	}
-	if length > maxFrameBody || frameKind(kind) < frameCall || frameKind(kind) > framePong {
+	if length > maxFrameBody || frameKind(kind) < frameCall || frameKind(kind) > framePart {
 		return frame{}, fmt.Errorf("%w: kind %d with a body of %d bytes", errInvalidFrame, kind, length)
 	}
 	f := frame{kind: frameKind(kind), method: Method(method), stream: stream}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,6 +15,7 @@
 
 	"burdocklift/client"
 	"burdocklift/clock"
+	"burdocklift/uplink"
 )
 
 // Errors that callers test with errors.Is.
@@ -57,7 +58,8 @@
 	clock     clock.Clock
 	handlers  map[Method]Handler
 	dial      Dialer
-	runCtx    context.Context // ends with Run
+	uplink    *uplink.Scheduler // nil without a limit
+	runCtx    context.Context   // ends with Run
 	cancelRun context.CancelFunc
 
 	mu       sync.Mutex
@@ -85,6 +87,10 @@
 // SetDialer replaces the TCP dialer. It must be called before Run.
 func (t *Transport) SetDialer(d Dialer) { t.dial = d }
 
+// SetUplink sets the outgoing link that the connections share with other traffic of
+// the host. It must be called before Run.
+func (t *Transport) SetUplink(u *uplink.Scheduler) { t.uplink = u }
+
 // Handle sets the handler of a method. It must be called before Run.
 func (t *Transport) Handle(m Method, h Handler) { t.handlers[m] = h }
 
@@ -171,6 +177,9 @@
 	ctx, cancel := context.WithTimeout(t.runCtx, dialTimeout)
 	defer cancel()
 	raw, err := t.dial(ctx, address)
+	if err == nil {
+		err = announceParts(raw)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dialing = nil
@@ -182,6 +191,19 @@
 	close(done)
 }
 
+// announceParts tells the node at the other end of a new connection, before any call,
+// that this one accepts replies in parts.
+func announceParts(raw net.Conn) error {
+	err := raw.SetWriteDeadline(time.Now().Add(dialTimeout))
+	if err == nil {
+		_, err = raw.Write(frame{kind: framePing, method: acceptsParts}.appendTo(nil))
+	}
+	if err != nil {
+		_ = raw.Close() // the connection was not used yet
+	}
+	return err
+}
+
 // Reachable reports whether an address is not in backoff after a failed dial.
 func (t *Transport) Reachable(address string) bool {
 	t.mu.Lock()
