serve: admit requests with large answers by the host's link

Cause: requests were admitted by the slots of the target alone. Where the link is the scarcer resource, answers queued for it until their callers had left.

Change: nodes know the link from the settings (limits.link) and the mean size of the answers of each class. A request whose answer could not be sent within its objective is refused at once with the reason link, and goes to another target; the target beside the caller goes first, as other ones take the links of two hosts. Answers to callers are paced like those to nodes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -23,6 +23,7 @@
 	"burdocklift/relay"
 	"burdocklift/serve"
 	"burdocklift/store"
+	"burdocklift/uplink"
 )
 
 const (
@@ -58,6 +59,7 @@
 	fleet       *fleet.Fleet
 	router      *serve.Router
 	callers     *httpService
+	uplink      *uplink.Scheduler
 	reloader    *reloader
 	inputErrors errorLog
 	stopping    atomic.Bool
@@ -73,7 +75,9 @@
 func New(s conf.Agent, path string, c clock.Clock, log *slog.Logger) (*Agent, error) {
 	a := &Agent{settings: s, clock: c, log: log, inputErrors: errorLog{clock: c, log: log}}
 	a.reloader = &reloader{path: path, clock: c, log: log, initial: s, lastRead: s, apply: a.apply}
+	a.uplink = uplink.New(s.Limits.Link, c)
 	peers := peer.New(c)
+	peers.SetUplink(a.uplink)
 	direct := store.NewCounted(platform.NewStore(s.Store), c, func(kind, outcome string, took time.Duration) {
 		a.router.Metrics().Observe("store "+kind, "", outcome, took)
 	})
@@ -88,6 +92,7 @@
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region,
 		Fleet: a.fleet, Peers: peers, Target: platform.NewTarget(s.Target.Address, int64(s.Memory)<<20/responseMemoryShare, c), Clock: c, Log: log,
 		RetryRatio: s.Limits.Ratio, RetrySlack: s.Limits.Slack, DrainPeriod: s.Limits.Drain,
+		Uplink: a.uplink,
 	})
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, a.ready)
@@ -219,7 +224,19 @@
 	r.Left = func() bool { return hangup.Closed(req.Context()) }
 	ctx, stop := hangup.Watch(req.Context(), a.clock)
 	defer stop()
-	if err := platform.WriteResult(w, r.ID, a.router.Serve(ctx, r)); err != nil {
+	paced := pacedWriter{ResponseWriter: w, ctx: req.Context(), uplink: a.uplink}
+	if err := platform.WriteResult(paced, r.ID, a.router.Serve(ctx, r)); err != nil {
 		eventAnswerNotDelivered.Log(req.Context(), a.log, slog.String("id", r.ID), slog.String("error", err.Error()))
 	}
 }
+
+// pacedWriter writes large bodies as the host's link becomes free, and no further once
+// the caller has left.
+type pacedWriter struct {
+	http.ResponseWriter
+	ctx    context.Context
+	uplink *uplink.Scheduler
+}
+
+// Write implements io.Writer.
+func (w pacedWriter) Write(b []byte) (int, error) { return w.uplink.Write(w.ctx, w.ResponseWriter, b) }
--- a/conf/agent.go
+++ b/conf/agent.go
@@ -29,6 +29,7 @@
 	Hold  time.Duration `toml:"hold"`  // longest hold of keys that a target accepts
 	Ratio float64       `toml:"ratio"` // requests sent to targets once more, per request of a service
 	Slack float64       `toml:"slack"` // requests sent once more besides, over all nodes
+	Link  float64       `toml:"link"`  // rate of the host's link in Mbit/s, 0 for no limit
 }
 
 // defaultLimits are the bounds of the first two sites.
@@ -98,6 +99,9 @@
 	if s.Limits.Ratio < 0 || s.Limits.Ratio > 1 {
 		c.add("limits.ratio", "%v is out of range, must be from 0 to 1", s.Limits.Ratio)
 	}
+	if !(s.Limits.Link >= 0 && s.Limits.Link <= maxLink) {
+		c.add("limits.link", "%v is out of range, must be from 0 to %v", s.Limits.Link, maxLink)
+	}
 	c.choice("log.format", s.Log.Format, "auto", "text", "json")
 	c.choice("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	if err := c.result(); err != nil {
@@ -109,5 +113,8 @@
 // minHold is the longest hold that nodes grant.
 const minHold = 2500 * time.Millisecond
 
+// maxLink is the greatest rate of a link in Mbit/s.
+const maxLink = 1e6
+
 // minMemory is the least memory of a node in MiB: an idle one takes 20.
 const minMemory = 48
--- a/conf/agent_test.go
+++ b/conf/agent_test.go
@@ -24,6 +24,7 @@
 [limits]
 drain = "3s"
 slack = 56
+link = 10.5
 `
 
 // Guards against settings that are read with another meaning.
@@ -33,7 +34,7 @@
 		t.Fatal(err)
 	}
 	if s.Addresses.Peer() != "10.0.0.2:7000" || s.Addresses.Metrics() != "10.0.0.2:7015" || s.Limits.Drain != 3*time.Second ||
-		s.Limits.Stop != 6*time.Second || s.Limits.Slack != 56 || s.Log.Format != "json" {
+		s.Limits.Stop != 6*time.Second || s.Limits.Slack != 56 || s.Limits.Link != 10.5 || s.Log.Format != "json" {
 		t.Errorf("settings are %+v", s)
 	}
 	if called := s.Addresses; called.Internal() != called.Peer() {
@@ -52,14 +53,16 @@
 // line and key.
 func TestInvalidAgentSettings(t *testing.T) {
 	for want, change := range map[string][2]string{
-		"s.toml:5: memory":           {"memory = 284", "memory = 4"},
-		"s.toml:4: store":            {`store = "10.0.0.1:80"`, `store = "host"`},
-		"s.toml:14: addresses.ports": {"[7000, 7015]", "[7000]"},
-		"s.toml:16: limits.drain":    {`"3s"`, `"3"`},
-		"required key is missing":    {`ip = "10.0.0.2"`, ``},
-		"unknown key":                {`region = "r"`, "region = \"r\"\nseed = 1"},
-		"addresses.called":           {`ip = "10.0.0.2"`, "ip = \"10.0.0.2\"\ncalled = \"host\""},
-		"limits.hold":                {`drain = "3s"`, `hold = "2s"`},
+		"s.toml:5: memory":              {"memory = 284", "memory = 4"},
+		"s.toml:4: store":               {`store = "10.0.0.1:80"`, `store = "host"`},
+		"s.toml:14: addresses.ports":    {"[7000, 7015]", "[7000]"},
+		"s.toml:16: limits.drain":       {`"3s"`, `"3"`},
+		"required key is missing":       {`ip = "10.0.0.2"`, ``},
+		"unknown key":                   {`region = "r"`, "region = \"r\"\nseed = 1"},
+		"addresses.called":              {`ip = "10.0.0.2"`, "ip = \"10.0.0.2\"\ncalled = \"host\""},
+		"limits.hold":                   {`drain = "3s"`, `hold = "2s"`},
+		"limits.link":                   {`link = 10.5`, `link = -1`},
+		"limits.link: must be a finite": {`link = 10.5`, `link = nan`},
 	} {
 		_, err := ParseAgent("s.toml", []byte(strings.Replace(agentText, change[0], change[1], 1)))
 		if !errors.Is(err, ErrInvalid) || !strings.Contains(err.Error(), want) {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -50,7 +50,10 @@
 	ctx, cancel := context.WithTimeout(ctx, j.deadline-begin)
 	defer cancel()
 	defer context.AfterFunc(r.aborted, cancel)()
-	res := r.sendWithRetries(ctx, j, route)
+	res, refused := r.refuseTransfer(j)
+	if !refused {
+		res = r.sendWithRetries(ctx, j, route)
+	}
 	if res.Reason == ReasonCallerGone && r.aborted.Err() != nil {
 		res.Reason, res.RetryAfter = ReasonStopping, minRetryAfter
 	}
@@ -200,14 +203,18 @@
 		candidates = rest
 	}
 	res := notRun(ReasonNoTarget, notReadyRetryAfter)
-	for range min(maxNodesTried, len(candidates)) {
-		c, ok := picker.Pick(candidates)
+	for number := range min(maxNodesTried, len(candidates)) {
+		options := candidates
+		if i := r.localIndex(j, candidates); number == 0 && i >= 0 {
+			options = candidates[i : i+1]
+		}
+		c, ok := picker.Pick(options)
 		if !ok {
 			break
 		}
 		m, _ := v.Member(c.Name)
 		res = r.sendTo(ctx, j, m)
-		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonRejected
+		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
 		picker.Done(c, pick.Result{
 			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
 			Abandoned: res.Reason == ReasonCallerGone,
@@ -228,6 +235,16 @@
 	return res
 }
 
+// localIndex returns the index of the local target among the candidates if the
+// request should go there first, else -1: a large answer of another target takes the
+// links of two hosts.
+func (r *Router) localIndex(j *job, candidates []pick.Candidate) int {
+	if r.sizes.large(j.class) == 0 {
+		return -1
+	}
+	return slices.IndexFunc(candidates, func(c pick.Candidate) bool { return c.Name == r.cfg.Name })
+}
+
 func (r *Router) sendTo(ctx context.Context, j *job, m fleet.Member) Result {
 	if m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), r.cfg.Clock.Elapsed()) {
 		return notRun(ReasonNoTarget, ownerRetryAfter)
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -119,6 +119,7 @@
 		RetryAfter: time.Duration(reply.RetryAfter) * time.Microsecond, Sends: reply.Sends,
 	}
 	r.noteDeparture(m, res.Response)
+	r.observeSize(j.class, res)
 	return res
 }
 
--- a/serve/local.go
+++ b/serve/local.go
@@ -51,6 +51,7 @@
 	if refusal, ok := r.acquireSlot(ctx, j); !ok {
 		return refusal
 	}
+	defer r.cfg.Uplink.Reserve(r.sizes.large(j.class))()
 	now := r.cfg.Clock.Elapsed()
 	if ctx.Err() != nil || r.aborted.Err() != nil || j.request.callerLeft() {
 		r.admission.Release(j.class, 0, false, now)
@@ -79,7 +80,9 @@
 	if success {
 		r.cfg.Fleet.RecordServiceTime(end - now)
 	}
-	return r.classify(ctx, t, response, err)
+	res := r.classify(ctx, t, response, err)
+	r.observeSize(j.class, res)
+	return res
 }
 
 // classify returns the result for the response or the error of the target.
@@ -112,10 +115,12 @@
 }
 
 // acquireSlot waits for a slot of the target. It returns the refusal and false
-// if none is free in time.
+// if none is free in time, or if the link can't send the answer in time.
 func (r *Router) acquireSlot(ctx context.Context, j *job) (Result, bool) {
+	transfer, backlog := r.expectedTransfer(j)
 	w, err := r.admission.Acquire(triage.Request{
 		Class: j.class, Urgency: j.urgency, Age: j.age, Objective: j.objective, Deadline: j.deadline,
+		Transfer: transfer, Backlog: backlog,
 	}, r.cfg.Clock.Elapsed())
 	if w != nil {
 		err = r.awaitStart(ctx, j, w)
@@ -126,6 +131,8 @@
 		return Result{}, true
 	case errors.As(err, &refusal) && refusal.Rate:
 		return notRun(ReasonLimited, refusal.RetryAfter), false
+	case errors.As(err, &refusal) && refusal.Transfer:
+		return notRun(ReasonLink, refusal.RetryAfter), false
 	case errors.As(err, &refusal):
 		return notRun(ReasonNoSlot, refusal.RetryAfter), false
 	case errors.Is(err, triage.ErrRefused), errors.Is(err, context.DeadlineExceeded):
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -22,6 +22,7 @@
 	"burdocklift/span"
 	"burdocklift/stats"
 	"burdocklift/triage"
+	"burdocklift/uplink"
 )
 
 // Request is a request as received from a caller.
@@ -104,6 +105,7 @@
 	ReasonNoGrant         Reason = "grant"    // the target may not hold the key yet
 	ReasonNoSlot          Reason = "full"     // no slot becomes free before the deadline
 	ReasonLimited         Reason = "limit"    // the target takes no more requests a second
+	ReasonLink            Reason = "link"     // the answer can't be sent before the deadline
 	ReasonNoTarget        Reason = "target"   // no target takes requests
 	ReasonRejected        Reason = "rejected" // the target rejected the request
 	ReasonPeerUnreachable Reason = "peer"     // the owner's node cannot be reached
@@ -146,6 +148,8 @@
 	RetrySlack float64
 	// DrainPeriod is how long a leaving target may still get requests.
 	DrainPeriod time.Duration
+	// Uplink is the outgoing link of this host, nil for one without a limit.
+	Uplink *uplink.Scheduler
 }
 
 // Router serves the callers on a node's machine and the requests that other
@@ -157,6 +161,7 @@
 	unheld    unheldRanges
 	limit     targetLimit
 	leaving   departures
+	sizes     answerSizes
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
@@ -197,6 +202,7 @@
 	r.stats.SetGauge("requests_running", int64(running))
 	r.stats.SetGauge("requests_waiting", int64(waiting))
 	r.stats.SetGauge("slots_limit", int64(limit))
+	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
 	return &r.stats
 }
 
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -49,6 +49,11 @@
 	// retryJitter is the largest random share added to the retry-after delay, so
 	// that callers refused together do not retry together.
 	retryJitter = 0.4
+	// firstTransferShare is the part of the time to its objective within which the answer
+	// to a first attempt has to be sent.
+	firstTransferShare = 0.8
+	// idleBacklog is the backlog up to which a link counts as nearly idle.
+	idleBacklog = 100 * time.Millisecond
 	// limitRecoveryInterval is the time after which a limit that was lowered because
 	// the target rejected requests rises by one.
 	limitRecoveryInterval = 500 * time.Millisecond
@@ -62,6 +67,9 @@
 	Age       time.Duration // since the caller's first attempt
 	Objective time.Duration // moment up to which an answer meets the latency objective
 	Deadline  time.Duration // moment at which the caller gives up
+	// Transfer is the expected time to send the answer, if it is large, and Backlog the
+	// time for which the link is busy with those of earlier requests.
+	Transfer, Backlog time.Duration
 }
 
 func (r Request) isRetry() bool { return r.Age >= RetryAge }
@@ -70,6 +78,7 @@
 type Refusal struct {
 	RetryAfter time.Duration
 	Rate       bool // the rate of starts decided, not the slots
+	Transfer   bool // the time to send the answer decided, not the slots
 }
 
 // Error implements error.
@@ -171,6 +180,14 @@
 	defer l.mu.Unlock()
 	l.raiseLimit(now)
 	serviceTime := l.meanServiceTime(r.Class)
+	if r.Transfer > 0 {
+		tail := max(r.Backlog-serviceTime, 0) + r.Transfer
+		if !worthSending(r, now+serviceTime+tail, now) {
+			return nil, transferRefusal(r)
+		}
+		r.Objective -= tail
+		r.Deadline -= tail
+	}
 	if l.running < l.limit && len(l.queue) == 0 {
 		if now+serviceTime/2 > r.Deadline {
 			return nil, Refusal{RetryAfter: 0}
@@ -348,6 +365,24 @@
 	return Refusal{RetryAfter: l.retryAfter()}
 }
 
+// worthSending reports whether a request is accepted whose answer is expected to have
+// been sent at a moment. A link that is full of answers that come too late carries
+// none in time, so only those are accepted that meet their objective, and others while
+// the link is nearly idle. First attempts leave room for requests that return.
+func worthSending(r Request, sent, now time.Duration) bool {
+	limit := r.Objective
+	if !r.isRetry() {
+		limit = now + time.Duration(firstTransferShare*float64(r.Objective-now))
+	}
+	return sent <= limit || r.Backlog <= idleBacklog && sent <= r.Deadline
+}
+
+// transferRefusal returns the refusal of a request whose answer would be sent too
+// late. The caller returns when the link has sent most of what was announced.
+func transferRefusal(r Request) Refusal {
+	return Refusal{RetryAfter: jitter(min(max(r.Backlog/2, minRetryAfter), maxRetryAfter)), Transfer: true}
+}
+
 // retryAfter returns the delay after which a caller that is refused now should
 // retry: the time to run the queued requests, plus jitter.
 func (l *Limiter) retryAfter() time.Duration {
@@ -355,7 +390,10 @@
 	for _, w := range l.queue {
 		work += l.meanServiceTime(w.request.Class)
 	}
-	wait := min(max(work/time.Duration(max(l.limit, 1)), minRetryAfter), maxRetryAfter)
+	return jitter(min(max(work/time.Duration(max(l.limit, 1)), minRetryAfter), maxRetryAfter))
+}
+
+func jitter(wait time.Duration) time.Duration {
 	return wait + time.Duration(rand.Float64()*retryJitter*float64(wait))
 }
 
