span: balance the other owners beside a busy key

Cause: a key cannot be divided, but its whole load counted. Its load also raised the mean, so that other busy owners seemed even.

Change: the load of a key counts up to the share of its owner, the mean follows from the limited loads, and an owner that has nothing to give away is passed over.

--- a/span/balance.go
+++ b/span/balance.go
@@ -55,10 +55,14 @@
 	}
 	changed := false
 	for range max(maxMovesPerStep, len(owners)) {
-		if busiest = b.mostUtilized(); b.utilization(busiest) < balancedRatio*b.meanUtilization || busy && !b.significant(busiest) || !b.offload(m, busiest) {
+		if busiest = b.mostUtilized(); busiest < 0 || b.utilization(busiest) < balancedRatio*b.meanUtilization || busy && !b.significant(busiest) {
 			break
 		}
-		changed = true
+		if b.offload(m, busiest) {
+			changed = true
+		} else {
+			b.stuck[busiest] = true
+		}
 	}
 	return changed
 }
@@ -98,24 +102,78 @@
 type balancer struct {
 	owners          []Owner
 	ownerLoads      []float64
+	stuck           []bool  // owners that have nothing to give away
 	meanUtilization float64 // load per capacity
 	keyLoad         CumulativeLoad
 }
 
 func newBalancer(m *Map, owners []Owner, w CumulativeLoad) *balancer {
-	b := &balancer{owners: owners, ownerLoads: make([]float64, len(owners)), keyLoad: w}
-	capacity := 0.0
+	b := &balancer{owners: owners, ownerLoads: make([]float64, len(owners)), stuck: make([]bool, len(owners))}
+	index := indexOwners(owners)
+	b.keyLoad, b.meanUtilization = clipHotKeys(m, owners, index, w)
+	for _, r := range m.Ranges {
+		if i, ok := index[r.finalOwner()]; ok {
+			b.ownerLoads[i] += b.keyLoad.Between(r.From, r.To)
+		}
+	}
+	return b
+}
+
+const (
+	// hotKeyShare is the part of an owner's share of the load from which a single key is
+	// considered for clipping, and clipSteps the number of steps in which the mean
+	// utilization follows from the clipped loads.
+	hotKeyShare = 1.0 / 16
+	clipSteps   = 16
+)
+
+// clipHotKeys limits the load of each key to the share of its owner, and returns the
+// limited loads and the mean utilization by them. A key cannot be divided: what exceeds
+// the share of its owner is served by nobody, and must not make the other owners look
+// idle.
+func clipHotKeys(m *Map, owners []Owner, index ownerIndex, w CumulativeLoad) (CumulativeLoad, float64) {
+	total, capacity := w.Between(0, MaxKey), 0.0
 	for _, o := range owners {
 		capacity += o.Capacity
 	}
-	index := indexOwners(owners)
+	type hotKey struct {
+		key            int
+		load, capacity float64 // capacity is that of the owner
+	}
+	var hot []hotKey
+	mean := total / capacity
+	rest := total // load of the keys that are not hot
 	for _, r := range m.Ranges {
+		c := capacity / float64(len(owners))
 		if i, ok := index[r.finalOwner()]; ok {
-			b.ownerLoads[i] += w.Between(r.From, r.To)
+			c = owners[i].Capacity
+		}
+		if limit := hotKeyShare * mean * c; w.Between(r.From, r.To) > limit {
+			for key := r.From; key <= r.To; key++ {
+				if load := w.Between(key, key); load > limit {
+					hot = append(hot, hotKey{key, load, c})
+					rest -= load
+				}
+			}
 		}
 	}
-	b.meanUtilization = w.Between(0, MaxKey) / capacity
-	return b
+	for range clipSteps {
+		clipped := rest
+		for _, h := range hot {
+			clipped += min(h.load, mean*h.capacity)
+		}
+		mean = clipped / capacity
+	}
+	out := CumulativeLoad{sums: slices.Clone(w.sums)}
+	next, cut := 0, 0.0
+	for key := range MaxKey + 1 {
+		if next < len(hot) && hot[next].key == key {
+			cut += max(hot[next].load-mean*hot[next].capacity, 0)
+			next++
+		}
+		out.sums[key+1] -= cut
+	}
+	return out, mean
 }
 
 func (b *balancer) utilization(i int) float64 { return b.ownerLoads[i] / b.owners[i].Capacity }
@@ -127,10 +185,11 @@
 	return b.ownerLoads[i] > share+significantDeviations*math.Sqrt(share)
 }
 
+// mostUtilized returns the most utilized owner that is not stuck, or -1.
 func (b *balancer) mostUtilized() int {
-	most := 0
+	most := -1
 	for i := range b.owners {
-		if b.utilization(i) > b.utilization(most) {
+		if !b.stuck[i] && (most < 0 || b.utilization(i) > b.utilization(most)) {
 			most = i
 		}
 	}
--- a/span/span_test.go
+++ b/span/span_test.go
@@ -176,6 +176,48 @@
 			t.Errorf("the busy key moved to %v", r.Owner)
 		}
 	})
+	t.Run("others are balanced beside a busy key", func(t *testing.T) {
+		var eight []Owner
+		for i := range 8 {
+			eight = append(eight, owner(i))
+		}
+		var m Map
+		Plan(&m, eight, even)
+		var l Load
+		const hot = 100 // a key of the first owner, busier than all others together
+		l.Add(hot, 1600, 0)
+		for key := range 200 { // beside it
+			l.Add(key, 0.5, 0)
+		}
+		third := 3 * (MaxKey + 1) / 8
+		for key := third; key < third+400; key++ { // busy neighbours of another owner
+			l.Add(key, 2, 0)
+		}
+		for range 6 {
+			Balance(&m, eight, l.Cumulative(0))
+			for _, o := range eight {
+				releaseAll(&m, o.Incarnation, "")
+			}
+		}
+		assertValid(t, m)
+		w := l.Cumulative(0)
+		rest := make(map[string]float64) // load without the busy key, by target
+		for _, r := range m.Ranges {
+			rest[r.Owner.Target] += w.Between(r.From, r.To)
+		}
+		busy, _ := m.Find(hot)
+		rest[busy.Owner.Target] -= w.Between(hot, hot)
+		mean := (w.Between(0, MaxKey) - w.Between(hot, hot)) / 7
+		for target, load := range rest {
+			limit := 1.3 * mean
+			if target == busy.Owner.Target {
+				limit = 0.3 * mean
+			}
+			if load > limit {
+				t.Errorf("target %s has a load of %.0f besides the busy key, want %.0f at most", target, load, limit)
+			}
+		}
+	})
 	t.Run("a new target gets keys of evenly busy ones", func(t *testing.T) {
 		var m Map
 		Plan(&m, owners, even)
