agent: a stopping node takes no request that it can't answer

Cause: from SIGTERM to its last quarter second a node took requests with their callers' whole time, and passed them on; what then still waited or ran was cut off, among it requests that may run once. After 2.5 s http.Server.Shutdown closed idle connections and the listener, so that requests on their way got no answer where a refusal was due.

Change: no request gets more time than the node has left, here or at the node to which it is forwarded, whose admission refuses what would end later. From the end of the lame-duck time on, requests of callers are refused as not run, on open and on new connections, until all requests in flight have ended; then the listener closes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -63,6 +63,7 @@
 	reloader    *reloader
 	inputErrors errorLog
 	stopping    atomic.Bool
+	inFlight    gauge // requests of callers
 }
 
 // apply applies the settings that can change without a restart.
@@ -164,24 +165,29 @@
 }
 
 // drain reports that the node is not ready, hands the target's keys over while it
-// still serves requests, and then waits for those in flight.
+// still serves requests, and then waits for those in flight. Until these have ended, the
+// listener and the connections stay open, and further requests get a refusal that they
+// did not run.
 func (a *Agent) drain(ctx context.Context) {
 	a.stopping.Store(true)
 	eventStopping.Log(ctx, a.log)
+	whole := a.settings.Limits.Stop - exitMargin
+	a.router.SetEnd(a.clock.Elapsed() + whole - abortMargin)
 	lameDuck := min(lameDuckTime, a.settings.Limits.Stop/2)
 	<-a.clock.After(max(lameDuck-handoverTime, 0))
 	if err := a.fleet.BeginStop(ctx); err != nil {
 		a.log.Warn("cannot hand over keys before the stop", "error", err)
 	}
 	<-a.clock.After(min(lameDuck, handoverTime))
-	left := a.settings.Limits.Stop - lameDuck - exitMargin
-	ctx, cancel := context.WithTimeout(ctx, left)
+	a.router.CloseToCallers()
+	ctx, cancel := context.WithTimeout(ctx, whole-lameDuck)
 	defer cancel()
-	abort := a.clock.AfterFunc(left-abortMargin, a.router.Abort)
+	abort := a.clock.AfterFunc(whole-lameDuck-abortMargin, a.router.Abort)
 	defer abort.Stop()
 	forwarded := make(chan error, 1)
 	go func() { forwarded <- a.router.Stop(ctx) }()
-	if err := errors.Join(a.callers.shutdown(ctx), <-forwarded); err != nil {
+	err := errors.Join(a.inFlight.wait(ctx), <-forwarded)
+	if err = errors.Join(err, a.callers.shutdown(ctx)); err != nil {
 		eventRequestsCut.Log(ctx, a.log, slog.String("error", err.Error()))
 		return
 	}
@@ -204,6 +210,8 @@
 }
 
 func (a *Agent) serveCaller(w http.ResponseWriter, req *http.Request) {
+	a.inFlight.add()
+	defer a.inFlight.done()
 	limit := defaultMaxBodyBytes
 	if set := a.fleet.View().Rules(); set != nil && set.Limits().BodyBytes > 0 {
 		limit = set.Limits().BodyBytes
--- a/agent/departed_test.go
+++ b/agent/departed_test.go
@@ -51,6 +51,7 @@
 	settings conf.Agent
 	callers  *emul.Gate   // holds back connections of callers
 	work     atomic.Int64 // service time of the target, a time.Duration
+	stop     func() error // stops the node and waits for its end
 
 	mu    sync.Mutex
 	began map[string]time.Time // by attempt id
@@ -82,6 +83,15 @@
 // work for the given time on each request. The first node has a target of another
 // service if there are several, so that it forwards.
 func startHosts(t *testing.T, n int, work time.Duration) []*host {
+	t.Helper()
+	return startHostsWith(t, n, manySlots, work)
+}
+
+// manySlots is a number of slots that is never reached.
+const manySlots = 100
+
+// startHostsWith is startHosts with a number of slots for each target.
+func startHostsWith(t *testing.T, n, slots int, work time.Duration) []*host {
 	t.Helper()
 	ledger := emul.NewLedger(time.Millisecond)
 	t.Cleanup(ledger.Close)
@@ -102,7 +112,7 @@
 		if n > 1 && i == 0 {
 			service = "desk"
 		}
-		hosts = append(hosts, startHost(t, fmt.Sprint("n-", i), service, l.Addr().String()))
+		hosts = append(hosts, startHost(t, fmt.Sprint("n-", i), service, slots, l.Addr().String()))
 	}
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -127,7 +137,7 @@
 	return hosts
 }
 
-func startHost(t *testing.T, name, service, store string) *host {
+func startHost(t *testing.T, name, service string, slots int, store string) *host {
 	t.Helper()
 	ip := nextIP()
 	at := func(port int) string { return fmt.Sprint(ip, ":", port) }
@@ -149,14 +159,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(ctx) }()
-	t.Cleanup(func() {
+	h.stop = sync.OnceValue(func() error {
 		cancel()
-		if err := <-ended; err != nil {
+		return <-ended
+	})
+	t.Cleanup(func() {
+		if err := h.stop(); err != nil {
 			t.Errorf("node %s ended with %v", name, err)
 		}
 	})
 	target, err := stand.Start(stand.Config{
-		ID: "i-" + name, StartedAt: time.Now(), Service: service, Slots: 100, Address: at(portTarget), Node: at(portBeat),
+		ID: "i-" + name, StartedAt: time.Now(), Service: service, Slots: slots, Address: at(portTarget), Node: at(portBeat),
 		WorkTime: func() time.Duration { return time.Duration(h.work.Load()) },
 		OnExecution: func(_ *stand.Target, e stand.Execution) {
 			h.mu.Lock()
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -41,6 +41,9 @@
 	if set == nil {
 		return notRun(ReasonNoRules, notReadyRetryAfter)
 	}
+	if r.closed.Load() {
+		return notRun(ReasonStopping, minRetryAfter)
+	}
 	path, _, _ := strings.Cut(req.Path, "?")
 	route, ok := set.Match(req.Host, path)
 	if !ok {
@@ -69,6 +72,7 @@
 	if req.Remaining > 0 {
 		j.deadline = min(j.deadline, begin+max(req.Remaining-responseMargin, req.Remaining/2))
 	}
+	j.deadline = r.beforeEnd(j.deadline)
 	j.age = r.callerAge(route.Name, req.Remaining)
 	j.objective = j.deadline
 	if route.LatencyObjective > 0 {
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -137,7 +137,7 @@
 		service: msg.Service, class: msg.Class, urgency: msg.Urgency, keyed: msg.Key >= 0, idempotent: msg.Idempotent,
 	}
 	now := r.cfg.Clock.Elapsed()
-	j.deadline = now + remaining
+	j.deadline = r.beforeEnd(now + remaining)
 	j.objective = now + time.Duration(msg.Objective)*time.Microsecond
 	j.age = time.Duration(msg.Age) * time.Microsecond
 	if j.keyed {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -167,6 +167,8 @@
 
 	drain        atomic.Int64 // drain period, a time.Duration
 	stopping     atomic.Bool  // refuses requests of other nodes
+	closed       atomic.Bool  // refuses requests of callers
+	end          atomic.Int64 // no request runs beyond this time.Duration on the clock, 0 for no end
 	peerRequests atomic.Int64 // requests of other nodes in flight
 
 	stats       stats.Set // by service and reason
@@ -209,6 +211,22 @@
 // SetDrainPeriod sets how long a leaving target may still get requests.
 func (r *Router) SetDrainPeriod(drain time.Duration) { r.drain.Store(int64(drain)) }
 
+// SetEnd sets the time on the clock at which this node ends all requests that are still
+// in flight. A request that can't be answered by then is refused, here or by the node
+// to which it is forwarded.
+func (r *Router) SetEnd(at time.Duration) { r.end.Store(int64(at)) }
+
+// beforeEnd returns a deadline that is not after the end of this node.
+func (r *Router) beforeEnd(deadline time.Duration) time.Duration {
+	if end := time.Duration(r.end.Load()); end > 0 {
+		return min(deadline, end)
+	}
+	return deadline
+}
+
+// CloseToCallers refuses all further requests of callers, which find other nodes.
+func (r *Router) CloseToCallers() { r.closed.Store(true) }
+
 // drainOver reports whether the target has been leaving for so long that it
 // gets no more requests.
 func (r *Router) drainOver(v *fleet.View, now time.Duration) bool {
