fleet: no look at the records after steps that change nothing

Cause: after each step the loop looked for records to write. At 300 nodes most steps are questions: the state of the relay ten times a second, the revision for a report, and on the planning node the reports of all others.

Change: such steps are queries, after which nothing is looked for; two questions about the relay are one.

--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -42,7 +42,7 @@
 	for range min(maxCopies, len(others)) {
 		after := uint64(0)
 		// An error means that the loop has ended.
-		_ = f.post(ctx, func(time.Duration) { after = f.knownRev })
+		_ = f.query(ctx, func(time.Duration) { after = f.knownRev })
 		address := others[f.copyCursor%len(others)]
 		callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
 		r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, copyRequest{After: after, Version: protocolVersion})
@@ -89,7 +89,7 @@
 	}
 	var r copyReply
 	var b batch
-	err := f.post(ctx, func(now time.Duration) {
+	err := f.query(ctx, func(now time.Duration) {
 		r.Rev, r.AgeMs = f.knownRev, f.freshness.ageMs(now)
 		for _, it := range f.items {
 			if it.Rev > c.After {
--- a/fleet/elect.go
+++ b/fleet/elect.go
@@ -76,7 +76,7 @@
 		}
 		relay := f.findRelay(ctx, unreachable)
 		// An error means that the loop has ended.
-		_ = f.post(ctx, func(now time.Duration) {
+		_ = f.query(ctx, func(now time.Duration) {
 			f.setRelays(relay == f.cfg.Name, now)
 			f.noteRelay(ctx, relay, now)
 		})
@@ -88,7 +88,7 @@
 func (f *Fleet) findRelay(ctx context.Context, unreachable map[string]time.Duration) string {
 	var hint string
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(time.Duration) { hint, f.election.hint = f.election.hint, "" })
+	_ = f.query(ctx, func(time.Duration) { hint, f.election.hint = f.election.hint, "" })
 	report := f.takeReport(ctx, false)
 	v := f.View()
 	if m, ok := v.members[hint]; ok && hint != f.cfg.Name {
@@ -148,7 +148,7 @@
 	var successor Member
 	var others []Member
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(now time.Duration) {
+	_ = f.query(ctx, func(now time.Duration) {
 		if !f.relays.Load() {
 			return
 		}
@@ -195,7 +195,7 @@
 	if err := cbor.Unmarshal(body, &r); err != nil {
 		return nil, err
 	}
-	err := f.post(ctx, func(now time.Duration) {
+	err := f.query(ctx, func(now time.Duration) {
 		f.election.hint = r.Successor
 		if r.Successor == f.cfg.Name && f.mayRelay(now) {
 			f.setRelays(true, now)
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -10,7 +10,7 @@
 func (f *Fleet) Freeze(d time.Duration) {
 	go func() {
 		select {
-		case f.steps <- func(time.Duration) { time.Sleep(d) }:
+		case f.steps <- step{run: func(time.Duration) { time.Sleep(d) }}:
 		case <-f.done:
 		}
 	}()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,7 +52,7 @@
 type Fleet struct {
 	cfg   Config
 	view  atomic.Pointer[View]
-	steps chan func(now time.Duration)
+	steps chan step
 	done  chan struct{}
 
 	retryTimer clockwork.Timer // for a failed write; owned by the loop
@@ -115,7 +115,7 @@
 	}
 	now := cfg.Clock.Elapsed()
 	f := &Fleet{
-		cfg: cfg, steps: make(chan func(time.Duration)), done: make(chan struct{}),
+		cfg: cfg, steps: make(chan step), done: make(chan struct{}),
 		run: cfg.Clock.Now().UnixMilli(), items: make(map[string]store.Item),
 		members: make(map[string]Member), ranges: make(map[string]span.Map),
 		peerRevs: make(map[string]uint64), relaying: make(map[string]bool), rangeChanges: make(map[string]*rangeChange),
@@ -179,11 +179,13 @@
 	due := f.cfg.Clock.NewTimer(relayDelay) // for changes to pass on
 	defer due.Stop()
 	for {
+		reconciles := true
 		select {
 		case <-ctx.Done():
 			return nil
-		case step := <-f.steps:
-			step(f.cfg.Clock.Elapsed())
+		case s := <-f.steps:
+			s.run(f.cfg.Clock.Elapsed())
+			reconciles = !s.query
 		case <-f.retryTimer.Chan():
 		case <-due.Chan():
 			if f.relays.Load() {
@@ -194,7 +196,9 @@
 			f.revokeDue(ctx, f.cfg.Clock.Elapsed())
 		}
 		now := f.cfg.Clock.Elapsed()
-		f.reconcile(ctx, now)
+		if reconciles {
+			f.reconcile(ctx, now)
+		}
 		if f.changesPending && f.relays.Load() {
 			f.changesPending = false
 			if f.relayDueAt <= now {
@@ -205,12 +209,29 @@
 	}
 }
 
+// step is a function that the loop runs.
+type step struct {
+	run func(now time.Duration)
+	// query is set if the step changes nothing that stored records depend on. At
+	// hundreds of nodes, most steps of the planning node are reports of the others.
+	query bool
+}
+
 // post runs a step on the loop and waits until it has run. It returns ErrStopped or the
 // context's error if the step did not run.
-func (f *Fleet) post(ctx context.Context, step func(now time.Duration)) error {
+func (f *Fleet) post(ctx context.Context, run func(now time.Duration)) error {
+	return f.submit(ctx, run, false)
+}
+
+// query is post for a step after which no record has to be written.
+func (f *Fleet) query(ctx context.Context, run func(now time.Duration)) error {
+	return f.submit(ctx, run, true)
+}
+
+func (f *Fleet) submit(ctx context.Context, run func(now time.Duration), query bool) error {
 	ran := make(chan struct{})
 	select {
-	case f.steps <- func(now time.Duration) { step(now); close(ran) }:
+	case f.steps <- step{func(now time.Duration) { run(now); close(ran) }, query}:
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-f.done:
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -59,8 +59,7 @@
 			err = f.watch(ctx)
 		default:
 			f.awaitRole(ctx, relayCheckInterval)
-			f.checkRelay(ctx)
-			if !f.isOverdue(ctx) {
+			if !f.checkRelay(ctx) {
 				continue
 			}
 			err = f.watch(ctx)
@@ -97,14 +96,6 @@
 	}
 }
 
-// isOverdue reports whether the store can tell this node what its relay has not.
-func (f *Fleet) isOverdue(ctx context.Context) bool {
-	overdue := false
-	// An error means that the loop has ended.
-	_ = f.post(ctx, func(now time.Duration) { overdue = f.freshness.age(now) > maxAge && f.mayRelay(now) })
-	return overdue
-}
-
 // copyUntilRetry copies records from other nodes until it is time to call the store again
 // or the store serves this node. A node that is neither the relay nor the planning node gets
 // them from its relay.
@@ -119,15 +110,18 @@
 	}
 }
 
-// checkRelay makes this node read the records from the store if its relay is silent.
-func (f *Fleet) checkRelay(ctx context.Context) {
+// checkRelay makes this node read the records from the store if its relay is silent. It
+// reports whether the store can tell this node what its relay has not.
+func (f *Fleet) checkRelay(ctx context.Context) (overdue bool) {
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(now time.Duration) {
+	_ = f.query(ctx, func(now time.Duration) {
 		if now-f.relayHeardAt > relaySilenceTimeout {
 			f.mustReload.Store(true)
 			f.relayHeardAt = now
 		}
+		overdue = f.freshness.age(now) > maxAge && f.mayRelay(now)
 	})
+	return overdue
 }
 
 func (f *Fleet) reload(ctx context.Context) error {
@@ -151,7 +145,7 @@
 func (f *Fleet) watch(ctx context.Context) error {
 	after := uint64(0)
 	wait := watchWait
-	err := f.post(ctx, func(now time.Duration) {
+	err := f.query(ctx, func(now time.Duration) {
 		after = f.knownRev
 		if f.watchFailures.Load() > 0 || f.freshness.age(now) > maxRelayAge {
 			wait = retryWatchWait
@@ -183,7 +177,7 @@
 
 func (f *Fleet) logWatchFailure(ctx context.Context, err error) {
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(now time.Duration) {
+	_ = f.query(ctx, func(now time.Duration) {
 		eventWatchFailed.Log(ctx, f.cfg.Log, slog.Uint64("rev", f.knownRev), slog.Int64("age_ms", f.freshness.age(now).Milliseconds()),
 			slog.Int("failures", int(f.watchFailures.Load())), slog.String("error", err.Error()))
 	})
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -109,7 +109,7 @@
 	reply, err := peer.Call[reportReply](callCtx, f.cfg.Peers, m.Address, MethodChanges, n)
 	cancel()
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(time.Duration) {
+	_ = f.query(ctx, func(time.Duration) {
 		delete(f.relaying, m.Name)
 		if err == nil {
 			f.peerRevs[m.Name] = reply.Rev
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -96,7 +96,7 @@
 				continue
 			}
 			// An error means that the loop has ended.
-			_ = f.post(ctx, func(now time.Duration) { f.planner.receiveReport(r, now) })
+			_ = f.query(ctx, func(now time.Duration) { f.planner.receiveReport(r, now) })
 			return true, ""
 		}
 		reply, err := f.report(ctx, v.members[name], r, reportTimeout, unreachable)
@@ -126,7 +126,7 @@
 	}
 	delete(unreachable, m.Name)
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(now time.Duration) {
+	_ = f.query(ctx, func(now time.Duration) {
 		if reply.Leads || reply.Relays {
 			f.relayHeardAt = now
 		}
@@ -162,7 +162,7 @@
 		return nil, err
 	}
 	reply := reportReply{Name: f.cfg.Name, Leads: f.canLead()}
-	err := f.post(ctx, func(now time.Duration) {
+	err := f.query(ctx, func(now time.Duration) {
 		f.planner.receiveReport(r, now)
 		f.peerRevs[r.Name] = r.Rev
 		reply.Relays = f.relaysReliably(now)
@@ -202,7 +202,7 @@
 func (f *Fleet) takeReport(ctx context.Context, withLoad bool) Report {
 	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed()), Version: protocolVersion}
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(time.Duration) { r.Rev = f.knownRev })
+	_ = f.query(ctx, func(time.Duration) { r.Rev = f.knownRev })
 	if !withLoad {
 		return r
 	}
--- a/fleet/right.go
+++ b/fleet/right.go
@@ -222,7 +222,7 @@
 	for {
 		met := false
 		changed := f.View().Changed()
-		if err := f.post(ctx, func(time.Duration) { met = condition() }); err != nil || met {
+		if err := f.query(ctx, func(time.Duration) { met = condition() }); err != nil || met {
 			return err
 		}
 		select {
--- a/fleet/version_test.go
+++ b/fleet/version_test.go
@@ -34,7 +34,7 @@
 				}
 				go func() {
 					step := <-f.steps
-					step(c.Elapsed())
+					step.run(c.Elapsed())
 				}()
 				request, err := cbor.Marshal(copyRequest{After: 1, Version: version})
 				if err != nil {
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -118,7 +118,7 @@
 // witness that no longer runs, or whose own right has ended, counts as a refusal.
 func (f *Fleet) requestRefusal(ctx context.Context, m Member, rev uint64) bool {
 	asked := slices.Clone(m.Witnesses)
-	err := f.post(ctx, func(time.Duration) {
+	err := f.query(ctx, func(time.Duration) {
 		asked = slices.DeleteFunc(asked, func(w Witness) bool { return f.cannotConfirm(w, rev) })
 	})
 	if err != nil {
@@ -164,7 +164,7 @@
 		return nil, err
 	}
 	var reply witnessReply
-	err := f.post(ctx, func(now time.Duration) {
+	err := f.query(ctx, func(now time.Duration) {
 		reply.Run = f.run
 		reply.Confirmed = c.Run == f.run && act(c, now)
 	})
