peer: neither a damaged frame nor a panic of a handler ends the process

Cause: the memory for the body of a frame was taken when its head had arrived, up to 80 MiB of the 184 MB of a small host. A panic in the handler of a call ended the process with all requests of the node.

Change: memory grows with what has arrived. A panic fails the call and its connection, and is logged with its stack (3108).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,6 +79,9 @@
 	a.uplink = uplink.New(s.Limits.Link, c)
 	peers := peer.New(c)
 	peers.SetUplink(a.uplink)
+	peers.OnPanic(func(m peer.Method, reason any, stack []byte) {
+		eventHandlerPanicked.Log(context.Background(), log, slog.Int("method", int(m)), slog.Any("reason", reason), slog.String("stack", string(stack)))
+	})
 	direct := store.NewCounted(platform.NewStore(s.Store), c, func(kind, outcome string, took time.Duration) {
 		a.router.Metrics().Observe("store "+kind, "", outcome, took)
 	})
--- a/agent/event.go
+++ b/agent/event.go
@@ -31,4 +31,7 @@
 	eventAnswerNotDelivered = event.Define(3101, "answer not delivered", slog.LevelInfo,
 		"A caller closed its connection before its response was written.",
 		"None.")
+	eventHandlerPanicked = event.Define(3108, "handler panicked", slog.LevelError,
+		"The handler of a call of another node ended with a panic. That call and the others on its connection fail; the node goes on.",
+		"Report the line with its stack to the developers.")
 )
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -293,6 +294,19 @@
 	})
 }
 
+// runHandler runs a handler. A panic fails its call alone, not the whole process.
+func (c *conn) runHandler(ctx context.Context, h Handler, f frame) (reply []byte, err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = fmt.Errorf("%w: %v", errHandlerPanic, reason)
+			if c.transport.onPanic != nil {
+				c.transport.onPanic(f.method, reason, debug.Stack())
+			}
+		}
+	}()
+	return h(ctx, f.body)
+}
+
 func (c *conn) serve(ctx context.Context, f frame) {
 	defer func() {
 		c.mu.Lock()
@@ -308,7 +322,7 @@
 		c.close(fmt.Errorf("%w: unknown method %d", errInvalidFrame, f.method))
 		return
 	}
-	reply, err := h(ctx, f.body)
+	reply, err := c.runHandler(ctx, h, f)
 	if err != nil && ctx.Err() != nil {
 		return // the caller has cancelled the call; others on this connection continue
 	}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 )
 
 // frameKind distinguishes calls, their replies and control frames.
@@ -66,11 +67,27 @@
 		return frame{}, fmt.Errorf("%w: kind %d with a body of %d bytes", errInvalidFrame, kind, length)
 	}
 	f := frame{kind: frameKind(kind), method: Method(method), stream: stream}
-	if length > 0 {
-		f.body = make([]byte, length)
-		if _, err := io.ReadFull(r, f.body); err != nil {
-			return frame{}, err
-		}
+	if f.body, err = readBody(r, int(length)); err != nil {
+		return frame{}, err
 	}
 	return f, nil
 }
+
+// readBody reads a body of a length that the other side has claimed. Memory grows with
+// what has arrived, as a claim alone could take that of a small host.
+func readBody(r io.Reader, length int) ([]byte, error) {
+	var body []byte
+	for len(body) < length {
+		have := len(body)
+		body = slices.Grow(body, min(length-have, max(have, initialBody)))
+		body = body[:min(length, cap(body))]
+		if _, err := io.ReadFull(r, body[have:]); err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
+// initialBody is the size of a body up to which memory is taken before any of it has
+// arrived.
+const initialBody = 64 << 10
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,6 +24,8 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrNoReply means that the call was sent and no reply arrived.
 	ErrNoReply = errors.New("no reply to a call that was sent")
+
+	errHandlerPanic = errors.New("handler panicked")
 )
 
 const (
@@ -59,7 +61,8 @@
 	handlers  map[Method]Handler
 	dial      Dialer
 	uplink    *uplink.Scheduler // nil without a limit
-	runCtx    context.Context   // ends with Run
+	onPanic   func(m Method, reason any, stack []byte)
+	runCtx    context.Context // ends with Run
 	cancelRun context.CancelFunc
 
 	mu       sync.Mutex
@@ -91,6 +94,10 @@
 // the host. It must be called before Run.
 func (t *Transport) SetUplink(u *uplink.Scheduler) { t.uplink = u }
 
+// OnPanic sets a function that is told of panics of handlers. It must be called before
+// Run.
+func (t *Transport) OnPanic(f func(m Method, reason any, stack []byte)) { t.onPanic = f }
+
 // Handle sets the handler of a method. It must be called before Run.
 func (t *Transport) Handle(m Method, h Handler) { t.handlers[m] = h }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -18,6 +18,7 @@
 	hang
 	fail // returns an error when the caller cancels
 	slow // replies after slowTime
+	crash
 )
 
 const slowTime = 300 * time.Millisecond
@@ -46,6 +47,7 @@
 				<-ctx.Done()
 				return nil, ctx.Err()
 			})
+			n.Handle(crash, func(context.Context, []byte) ([]byte, error) { panic("unexpected") })
 			n.Handle(slow, func(_ context.Context, body []byte) ([]byte, error) {
 				time.Sleep(slowTime)
 				return body, nil
@@ -161,3 +163,14 @@
 		}
 	})
 }
+
+// Guards against an unexpected error in one call that ends the whole process.
+func TestPanicOfHandler(t *testing.T) {
+	runOnTwoNodes(t, func(t *testing.T, _ *emul.Net, a *peer.Transport, _ <-chan struct{}) {
+		_, err := call(a, "b", crash, time.Second)
+		assertError(t, err, peer.ErrNoReply)
+		if reply, err := call(a, "b", echo, time.Second); err != nil || reply != "hello" {
+			t.Errorf("the next call got %q, %v", reply, err)
+		}
+	})
+}
--- a/triage/transfer_test.go
+++ b/triage/transfer_test.go
@@ -46,7 +46,7 @@
 func replayPhotos(t *testing.T, knowsLink bool) photoResult {
 	t.Helper()
 	var out photoResult
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		c := clock.NewBubble()
 		link := uplink.New(photoMbps, c)
 		var l triage.Limiter
