fleet: one write for the new runs of all targets after a loss of power

Without a planning node, and 0.4 s after their start with one, each of 184 nodes wrote the new run of its own target into the one record of ranges. Each write that succeeds makes all others under way fail: 19 succeeded a second, 160 to 860 conflicted, the planning node's among them, and from 32 s to 43 s 3,000 to 5,800 requests a second were refused as moved.

Change: a node that writes for its own target does so for all whose records name a new run, and the nodes spread these writes over 3 ms for each node of the site. The next one finds little left to write.

--- a/emul/ledger.go
+++ b/emul/ledger.go
@@ -54,6 +54,13 @@
 	l.faults = f
 }
 
+// SetDelay sets the time that each call takes from now on.
+func (l *Ledger) SetDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
 // Compact drops the history.
 func (l *Ledger) Compact() {
 	l.mu.Lock()
@@ -119,7 +126,10 @@
 // begin waits for the time of a call and returns an error if the ledger does
 // not serve the client.
 func (c *ledgerClient) begin(ctx context.Context) error {
-	if err := wait(ctx, c.l.delay); err != nil {
+	c.l.mu.Lock()
+	delay := c.l.delay
+	c.l.mu.Unlock()
+	if err := wait(ctx, delay); err != nil {
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
 	}
 	c.l.mu.Lock()
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -62,3 +62,61 @@
 		}
 	})
 }
+
+const (
+	// restartedNodes is the number of nodes of a site that lose power together with their
+	// targets.
+	restartedNodes = 150
+	// maxRestartTime bounds the time from the return of power until restartedShare of the
+	// keys are held.
+	maxRestartTime = 4 * time.Second
+	restartedShare = 0.8
+	// restartCallTime is the time of a call to the store from another region, on hosts that
+	// have just started.
+	restartCallTime = 100 * time.Millisecond
+)
+
+// Guards against a restart of all nodes and targets after which each node writes the new
+// run of its target into the one record of ranges by itself: all but one of the writes
+// under way conflict, and keys have no holder for as many writes as there are targets.
+func TestPowerLossOfAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var names []string
+		for i := range restartedNodes {
+			names = append(names, fmt.Sprintf("%c%d", 'a'+rune(i%8), i))
+		}
+		w := newSite(ctx, t, names)
+		defer w.stop()
+		time.Sleep(8 * time.Second)
+		if held := w.heldKeys(); held <= span.MaxKey {
+			t.Fatalf("%d keys are held before the loss of power", held)
+		}
+		for _, name := range names {
+			w.killNode(name)
+			w.crashTarget(name)
+		}
+		time.Sleep(time.Second)
+		w.ledger.SetDelay(restartCallTime)
+		begin := time.Now()
+		for i, name := range names {
+			w.startNode(name)
+			w.startTarget(name)
+			if i%5 == 0 {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		for float64(w.heldKeys()) < restartedShare*(span.MaxKey+1) && time.Since(begin) < 5*maxRestartTime {
+			time.Sleep(50 * time.Millisecond)
+		}
+		took := time.Since(begin)
+		t.Logf("%.1f of the keys are held after %v", restartedShare, took)
+		if took > maxRestartTime {
+			t.Errorf("%.1f of the keys were held after %v, want %v at most", restartedShare, took, maxRestartTime)
+		}
+		if len(w.violations) > 0 {
+			t.Errorf("%d violations, the first: %s", len(w.violations), w.violations[0])
+		}
+	})
+}
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -233,35 +233,40 @@
 	return f.rules.ShardedServices()
 }
 
-// replaceSuperseded assigns the keys of ended incarnations of targets to the present ones. The
-// planning node does so for all targets, as the member records name the incarnation that
-// runs; after the restart of a whole site, separate writes of all nodes to the one record
-// conflicted. Another node does so for its own target if the planning node is late.
+// replaceSpread is the time over which the nodes of a site spread their writes after a
+// restart of all, for each node. A write takes 20 ms and makes all others in flight fail.
+const replaceSpread = 3 * time.Millisecond
+
+// replaceSuperseded assigns the keys of ended incarnations of targets to the present ones,
+// as the member records name the incarnation that runs. The planning node does so. Another
+// node does so if the planning node is late with its own target, and then for all targets
+// as well: after a restart of a whole site, separate writes of 184 nodes to the one record
+// conflicted for 12 s.
 func (f *Fleet) replaceSuperseded(m *rangesDraft, service string, now time.Duration) bool {
-	changed := false
-	leads := f.planner.leads.Load()
-	if leads {
-		changed = m.edit().ReplaceAllSuperseded(func(node string) (span.Incarnation, bool) {
-			v := f.members[node]
-			if node == f.cfg.Name || v.Target == nil || v.Target.Service != service || v.Target.Lost {
-				return span.Incarnation{}, false
-			}
-			return v.Target.Incarnation, true
-		})
-	}
 	hb := f.local.heartbeat
-	if !f.local.present || hb.Service != service || hb.Lost {
-		return changed
-	}
-	if !m.HasSuperseded(f.cfg.Name, hb.Incarnation) {
+	serves := f.local.present && hb.Service == service && !hb.Lost
+	superseded := serves && m.HasSuperseded(f.cfg.Name, hb.Incarnation)
+	switch {
+	case !superseded:
 		f.releases.replaceAt = 0
-		return changed
-	}
-	if f.releases.replaceAt == 0 {
-		f.releases.replaceAt = now + releaseRecordWait
+	case f.releases.replaceAt == 0:
+		f.releases.replaceAt = now + rand.N(replaceSpread*time.Duration(len(f.members)+1))
+		if f.leader != "" {
+			f.releases.replaceAt += releaseRecordWait
+		}
+		f.retryTimer.Reset(f.releases.replaceAt - now)
 	}
-	if !leads && f.leader != "" && now < f.releases.replaceAt {
-		return changed
+	if !f.planner.leads.Load() && (!superseded || now < f.releases.replaceAt) {
+		return false
 	}
-	return m.edit().ReplaceSuperseded(f.cfg.Name, hb.Incarnation)
+	return m.edit().ReplaceAllSuperseded(func(node string) (span.Incarnation, bool) {
+		if node == f.cfg.Name {
+			return hb.Incarnation, serves
+		}
+		v := f.members[node]
+		if v.Target == nil || v.Target.Service != service || v.Target.Lost {
+			return span.Incarnation{}, false
+		}
+		return v.Target.Incarnation, true
+	})
 }
