--- a/peer/conn.go
+++ b/peer/conn.go
@@ -294,7 +294,7 @@
 	})
 }
 
-// runHandler runs a handler. A panic fails its call alone, not the whole process.
+// runHandler runs a handler. A panic ends the connection of its call, not the process.
 func (c *conn) runHandler(ctx context.Context, h Handler, f frame) (reply []byte, err error) {
 	defer func() {
 		if reason := recover(); reason != nil {
--- a/uplink/uplink.go
+++ b/uplink/uplink.go
@@ -176,7 +176,8 @@
 	return w
 }
 
-// maxTurnWait is the wait of a chunk that is not the first; it is woken up sooner.
+// maxTurnWait is the wait of a chunk that is not the first. It ends when the chunk
+// becomes the first.
 const maxTurnWait = time.Hour
 
 // trySend takes the link for the chunk of a waiter, or returns for how long to wait
