serve: log what a node knew of a request that ran at a crash

The line 2906 gives the count of earlier crashes, how many of them this run saw itself, the number of nodes that saw them, and the age of the last one, as known before the request started; 2907 is logged for each message with notices.

--- a/poison/guard.go
+++ b/poison/guard.go
@@ -64,6 +64,9 @@
 // List returns the hashes of suspect and quarantined requests.
 func (g *Guard) List() []Entry { return g.registry.List() }
 
+// Known returns what this node knows of crashes during a request.
+func (g *Guard) Known(f Fingerprint) Known { return g.registry.Known(f) }
+
 // Lift ends the suspicion or quarantine of a hash on all nodes of the service.
 func (g *Guard) Lift(h Hash) error {
 	n, err := g.registry.Lift(h)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -89,6 +89,14 @@
 	Expiry      time.Time
 }
 
+// Known is what a node knows of crashes during a request.
+type Known struct {
+	Crashes int           // seen by all nodes
+	Own     int           // of them, seen by this node since its start
+	Nodes   int           // that saw them; a restarted node counts anew
+	Age     time.Duration // since the last one
+}
+
 // Config holds the settings of a registry. Zero fields take their defaults.
 type Config struct {
 	Origin proto.HostID
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -79,6 +79,26 @@
 	return nil
 }
 
+// Known returns what this node knows of crashes during a request.
+func (r *Registry) Known(f Fingerprint) Known {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var k Known
+	for _, h := range f.hashes() {
+		rec := r.find(h)
+		if rec == nil {
+			continue
+		}
+		if n := rec.count(); n > k.Crashes {
+			k = Known{
+				Crashes: n, Own: rec.crashes[r.cfg.Origin], Nodes: len(rec.crashes),
+				Age: r.clock.Now().Sub(rec.expiry.Add(-r.cfg.TTL)),
+			}
+		}
+	}
+	return k
+}
+
 // Finish ends a request that the target answered. It clears the hashes of a
 // suspect and returns the notices that clear them on other nodes. A quarantined
 // request stays quarantined.
--- a/serve/event.go
+++ b/serve/event.go
@@ -26,6 +26,15 @@
 	"The target beside the node names another limit of requests a second in its responses, or none (0).",
 	"Check the target. Requests over the limit are refused with the reason limit, or go to other targets.")
 
+var eventCrashedRequest = event.Define(2906, "request ran at a crash", slog.LevelInfo,
+	"The target crashed while the request ran. The other fields tell what this node knew of earlier crashes when it let the request "+
+		"run: their number (known), how many of them it saw itself since its start (own), the nodes that saw them and the age of the last one.",
+	"Look for the lines of other nodes with the same hash. A request that crashed two targets before should not have run.")
+
+var eventNoticesReceived = event.Define(2907, "crash notices received", slog.LevelInfo,
+	"Another node told which requests were in flight on its target when it crashed, or which of them were answered since.",
+	"None.")
+
 var eventRequestFailed = event.Define(2900, "request failed", slog.LevelInfo,
 	"A request of a caller was refused, failed or ended without a response. The reason field names the cause.",
 	"Search the logs of all nodes for the request id.")
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,7 +39,9 @@
 func (r *Router) runGuarded(ctx context.Context, j *job, t *fleet.Target, remaining time.Duration) (Response, error) {
 	var response Response
 	var err error
-	crashed, refusal := r.guard.Run(fingerprint(j), r.cfg.Target.NotListening, func() poison.Outcome {
+	f := fingerprint(j)
+	known := r.guard.Known(f)
+	crashed, refusal := r.guard.Run(f, r.cfg.Target.NotListening, func() poison.Outcome {
 		var advice Advice
 		sent := r.cfg.Clock.Elapsed()
 		response, advice, err = r.cfg.Target.Run(ctx, j.request, t.Incarnation, remaining)
@@ -48,6 +51,11 @@
 	if refusal != nil {
 		return Response{}, refusal
 	}
+	if crashed {
+		eventCrashedRequest.Log(ctx, r.cfg.Log, slog.String("id", j.request.ID), slog.String("hash", f.Content.String()),
+			slog.String("target", t.Incarnation.Target), slog.Int("known", known.Crashes), slog.Int("own", known.Own),
+			slog.Int("nodes", known.Nodes), slog.Int64("age_ms", known.Age.Milliseconds()))
+	}
 	// A target that listens may still hold keys, so it is not marked as ended.
 	if crashed && r.cfg.Target.NotListening() {
 		eventTargetCrashed.Log(ctx, r.cfg.Log, slog.String("id", j.request.ID), slog.String("target", t.Incarnation.Target))
@@ -112,11 +120,23 @@
 	}
 }
 
-func (r *Router) handleNotice(_ context.Context, body []byte) ([]byte, error) {
+func (r *Router) handleNotice(ctx context.Context, body []byte) ([]byte, error) {
 	var msg noticeMessage
 	if err := cbor.Unmarshal(body, &msg); err != nil {
 		return nil, fmt.Errorf("decode notices: %w", err)
 	}
 	r.guard.Merge(msg.Notices)
+	eventNoticesReceived.Log(ctx, r.cfg.Log, noticeAttrs(msg.Notices)...)
 	return cbor.Marshal(struct{}{})
 }
+
+// maxLoggedHashes bounds the hashes in a line about notices.
+const maxLoggedHashes = 4
+
+func noticeAttrs(notices []poison.Notice) []slog.Attr {
+	var hashes []string
+	for _, n := range notices[:min(len(notices), maxLoggedHashes)] {
+		hashes = append(hashes, fmt.Sprintf("%s=%d/%d", n.Hash, n.Round, n.Count))
+	}
+	return []slog.Attr{slog.Int("count", len(notices)), slog.String("hashes", strings.Join(hashes, " "))}
+}
