serve: crash notices for nodes whose own target has just ended

Notices now go to every node of the service that has not ended. A node that is gone fails the call within 0.3 s, as before.

--- a/serve/poison.go
+++ b/serve/poison.go
@@ -99,7 +99,8 @@
 	results := make(chan error)
 	calls := 0
 	v.Members(func(m fleet.Member) {
-		if m.Name == r.cfg.Name || !m.Serves(t.Service) {
+		// A node whose target has just ended or is cut off runs requests again soon.
+		if m.Name == r.cfg.Name || m.Revoked || m.Target == nil || m.Target.Service != t.Service {
 			return
 		}
 		calls++
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -135,7 +135,7 @@
 		}
 	}
 	return rules.New(1, rules.Limits{}, []rules.Route{
-		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true),
+		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
 	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive"}})
 }
 
