poison, fleet, serve: the quarantine outlasts restarts of nodes

The crashes were kept in the memory of nodes only. Ruled out: attempts that overtake a notice, as apart from the second crash no age was under 3 s.

Its earlier runs' counts and rounds go on. A node that knows of a quarantine refuses the request before it forwards it, and tells the next node of a suspect one. Healthy requests wait for none of this.

TestQuarantineOutlastsRestarts without the record: 8 crashes in turn, 6 by halves, 4 all at once, want 2.

--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -114,6 +114,9 @@
 		f.ranges[service] = m
 		return false, nil
 	}
+	if name, ok := strings.CutPrefix(it.Key, prefixCrashes); ok {
+		return false, f.applyCrashes(name, it)
+	}
 	name, ok := strings.CutPrefix(it.Key, prefixMember)
 	if !ok {
 		return false, fmt.Errorf("%w: key has an unknown prefix", ErrRecord)
--- /dev/null
+++ b/fleet/crash.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"burdocklift/poison"
+	"burdocklift/store"
+)
+
+// prefixCrashes is the prefix of the records of crashes. Each node writes its own record,
+// so that writes after crashes of many targets do not conflict.
+const prefixCrashes = prefixOwn + "crash/"
+
+const (
+	// crashRecordDelay is how long after a crash the record is written at the latest. By
+	// then most crashes have changed the member record, and both are one write.
+	crashRecordDelay = 100 * time.Millisecond
+	// crashRecordInterval is the time between two writes of the record. A target that
+	// crashed is back after some seconds.
+	crashRecordInterval = 2 * time.Second
+	// clearRecordDelay is how long changes wait that only clear requests. A node that
+	// does not know them lets the requests run one at a time.
+	clearRecordDelay = 5 * time.Second
+	// crashRemovalInterval is the time between two searches for records to be removed.
+	crashRemovalInterval = time.Minute
+	// maxCrashNotices bounds the notices of a record, each of which has about 45 bytes.
+	maxCrashNotices = 1024
+)
+
+// CrashLog holds the crashes of targets by the requests that were in flight. It is called
+// on the control loop.
+type CrashLog interface {
+	// Merge merges what another node has recorded.
+	Merge(notices []poison.Notice)
+	// Inherit merges what an earlier run of this node has recorded.
+	Inherit(notices []poison.Notice)
+	// Own returns what this node has to record, in a fixed order.
+	Own() []poison.Notice
+}
+
+// crashRecord is the state of this node's record of crashes. It is owned by the loop.
+type crashRecord struct {
+	log       CrashLog
+	changed   bool          // the record may be out of date
+	dueAt     time.Duration // latest time of the next write
+	writtenAt time.Duration
+	expiries  map[string]time.Time // when the last notice of each node's record expires
+	removalAt time.Duration        // of the next search for records to be removed
+}
+
+// SetCrashLog sets the log whose content is kept in the store. It must be called before
+// Run.
+func (f *Fleet) SetCrashLog(l CrashLog) { f.crashes.log = l }
+
+// RecordCrashes makes this node record its crashes, after a crash of its target or after
+// requests were cleared.
+func (f *Fleet) RecordCrashes(ctx context.Context, crash bool) error {
+	return f.query(ctx, func(now time.Duration) { f.markCrashes(now, crash) })
+}
+
+func (f *Fleet) markCrashes(now time.Duration, crash bool) {
+	c := &f.crashes
+	due := now + clearRecordDelay
+	if crash {
+		due = now + crashRecordDelay
+		if c.writtenAt > 0 {
+			due = max(due, c.writtenAt+crashRecordInterval)
+		}
+	}
+	if !c.changed || due < c.dueAt {
+		c.dueAt = due
+	}
+	c.changed = true
+}
+
+// crashTxn writes this node's record of crashes if it is due.
+func (f *Fleet) crashTxn(now time.Duration) (store.Txn, string) {
+	if now < f.crashes.dueAt {
+		return store.Txn{}, ""
+	}
+	var txn store.Txn
+	if !f.addCrashes(&txn, now) {
+		return store.Txn{}, ""
+	}
+	return txn, "crashes"
+}
+
+// addCrashes adds this node's record of crashes to a write if it has changed.
+func (f *Fleet) addCrashes(txn *store.Txn, now time.Duration) bool {
+	c := &f.crashes
+	if !c.changed || c.log == nil {
+		return false
+	}
+	key := prefixCrashes + f.cfg.Name
+	notices := c.log.Own()
+	it := f.items[key]
+	value := encodeCrashes(notices)
+	exists := it.Rev > 0 && !it.Removed
+	switch {
+	case exists && slices.Equal(it.Value, value), !exists && len(notices) == 0:
+		c.changed = false
+		return false
+	case len(notices) == 0:
+		txn.Deletes = append(txn.Deletes, key)
+	default:
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+	}
+	txn.Expect = append(txn.Expect, f.expect(key))
+	c.writtenAt, c.dueAt = now, now+crashRecordInterval
+	return true
+}
+
+func encodeCrashes(notices []poison.Notice) []byte {
+	b, err := cbor.Marshal(notices)
+	if err != nil {
+		panic(fmt.Sprintf("cannot encode record of crashes: %v", err))
+	}
+	return b
+}
+
+// applyCrashes applies a node's record of crashes. The crashes of a removed record are
+// kept until they expire.
+func (f *Fleet) applyCrashes(name string, it store.Item) error {
+	c := &f.crashes
+	if it.Removed {
+		delete(c.expiries, name)
+		return nil
+	}
+	var notices []poison.Notice
+	if err := cbor.Unmarshal(it.Value, &notices); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrRecord, it.Key, err)
+	}
+	if len(notices) > maxCrashNotices {
+		return fmt.Errorf("%w: %s: %d notices, at most %d are accepted", ErrRecord, it.Key, len(notices), maxCrashNotices)
+	}
+	if c.expiries == nil {
+		c.expiries = make(map[string]time.Time)
+	}
+	c.expiries[name] = time.Time{}
+	for _, n := range notices {
+		if at := time.UnixMilli(n.Expiry); at.After(c.expiries[name]) {
+			c.expiries[name] = at
+		}
+	}
+	if c.log == nil {
+		return nil
+	}
+	if name != f.cfg.Name {
+		c.log.Merge(notices)
+		return nil
+	}
+	c.log.Inherit(notices)
+	return nil
+}
+
+// crashRemovalTxn removes a record of crashes that have all expired. The node that wrote
+// it may be gone.
+func (f *Fleet) crashRemovalTxn(now time.Duration) (store.Txn, string) {
+	c := &f.crashes
+	if !f.planner.leads.Load() || now < c.removalAt {
+		return store.Txn{}, ""
+	}
+	for name, at := range c.expiries {
+		if name == f.cfg.Name && c.changed || at.After(f.cfg.Clock.Now()) {
+			continue
+		}
+		key := prefixCrashes + name
+		return store.Txn{Expect: []store.Expect{f.expect(key)}, Deletes: []string{key}}, "removed crashes"
+	}
+	c.removalAt = now + crashRemovalInterval
+	return store.Txn{}, ""
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -102,6 +102,7 @@
 	grantRight grantRight
 	writer     writer
 	releases   releaseTracker
+	crashes    crashRecord
 	leader     string // address of the planning node, or empty
 	revoker    revoker
 	witness    witnessState
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -33,6 +33,8 @@
 	ledger *emul.Ledger
 	net    *emul.Net
 	log    *slog.Logger
+	// crashLog is that of the nodes that are started next.
+	crashLog fleet.CrashLog
 
 	mu         sync.Mutex
 	faults     emul.LedgerFaults
@@ -89,6 +91,7 @@
 		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules,
 	})
 	ledger.SetRelays(f.PeerAddresses)
+	f.SetCrashLog(w.crashLog)
 	n := &node{name: name, fleet: f, stop: cancel, ended: make(chan struct{})}
 	listener := w.net.Listen(address)
 	ends := make(chan struct{}, 2)
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -51,6 +51,12 @@
 	if reason == "" {
 		txn, reason = f.removalTxn(now)
 	}
+	if reason == "" {
+		txn, reason = f.crashTxn(now)
+	}
+	if reason == "" {
+		txn, reason = f.crashRemovalTxn(now)
+	}
 	if len(f.releases.unsent) > 0 {
 		go f.sendReleases(ctx, f.leader, releaseRequest{Releases: f.releases.unsent})
 		f.releases.unsent = make(map[string][]span.Release)
@@ -148,10 +154,12 @@
 		return store.Txn{}, ""
 	}
 	key := prefixMember + f.cfg.Name
-	return store.Txn{
+	txn := store.Txn{
 		Expect: []store.Expect{f.expect(key)},
 		Writes: []store.Write{{Key: key, Value: encodeMember(want)}},
-	}, "member"
+	}
+	f.addCrashes(&txn, now)
+	return txn, "member"
 }
 
 func sameMember(a, b Member) bool {
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -61,6 +61,16 @@
 // Merge merges the notices of another node.
 func (g *Guard) Merge(notices []Notice) { g.registry.Merge(notices...) }
 
+// Inherit merges what an earlier run of this node recorded.
+func (g *Guard) Inherit(notices []Notice) { g.registry.Inherit(notices...) }
+
+// Own returns the crashes that this node and its earlier runs counted. Once recorded,
+// they outlast this run.
+func (g *Guard) Own() []Notice { return g.registry.Own() }
+
+// Notices returns what this node knows of a request.
+func (g *Guard) Notices(f Fingerprint) []Notice { return g.registry.Notices(f) }
+
 // List returns the hashes of suspect and quarantined requests.
 func (g *Guard) List() []Entry { return g.registry.List() }
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -97,6 +97,12 @@
 	Age     time.Duration // since the last one
 }
 
+// Suspect reports whether the request was in flight at a crash.
+func (k Known) Suspect() bool { return k.Crashes > 0 }
+
+// Quarantined reports whether the request must not run.
+func (k Known) Quarantined() bool { return k.Crashes >= crashLimit }
+
 // Config holds the settings of a registry. Zero fields take their defaults.
 type Config struct {
 	Origin proto.HostID
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -239,3 +239,66 @@
 		rs[0].Finish(testFingerprint(1))
 	}
 }
+
+// Guards against a restarted node that forgets what its earlier run counted, and against
+// crashes that other nodes ignore as the restarted node uses an earlier round again.
+func TestOwnCrashesOutlastRestart(t *testing.T) {
+	rs, clock := newRegistries(2, 0)
+	restart := func(run string) {
+		earlier := rs[0].Own()
+		rs[0] = NewRegistry(Config{Origin: proto.HostID{Name: run}}, clock)
+		rs[0].Inherit(earlier...)
+	}
+	start := func(f Fingerprint, want error) {
+		t.Helper()
+		if err := rs[0].Start(f); !errors.Is(err, want) {
+			t.Fatalf("request is admitted with error %v, want %v", err, want)
+		}
+	}
+	cleared, poison := testFingerprint(1), testFingerprint(2)
+	start(cleared, nil)
+	rs[1].Merge(rs[0].RecordCrash()...)
+	start(cleared, nil)
+	rs[1].Merge(rs[0].Finish(cleared)...)
+	start(poison, nil)
+	rs[1].Merge(rs[0].RecordCrash()...)
+	restart("second")
+	start(poison, nil)
+	rs[1].Merge(rs[0].RecordCrash()...)
+	for _, run := range []string{"third", "fourth"} {
+		restart(run)
+		start(poison, ErrQuarantined)
+	}
+	start(cleared, nil)
+	rs[1].Merge(rs[0].RecordCrash()...)
+	if k := rs[1].Known(cleared); k.Crashes != 1 {
+		t.Errorf("other node knows %d crashes after the round that was cleared, want 1", k.Crashes)
+	}
+	clock.Advance(time.Hour)
+	if n := rs[0].Own(); len(n) > 0 {
+		t.Errorf("%d notices are kept after their expiry", len(n))
+	}
+}
+
+// Guards against records that grow with the crashes of a target, and in which the requests
+// of the last crash push out a quarantined one.
+func TestOwnCrashesAreBounded(t *testing.T) {
+	rs, clock := newRegistries(1, 0)
+	poison := Fingerprint{Content: 1}
+	for range crashLimit {
+		if err := rs[0].Start(poison); err != nil {
+			t.Fatal(err)
+		}
+		rs[0].RecordCrash()
+	}
+	clock.Advance(time.Minute)
+	for n := range 2 * MaxOwn {
+		if err := rs[0].Start(Fingerprint{Content: Hash(n + 2)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rs[0].RecordCrash()
+	if own := rs[0].Own(); len(own) != MaxOwn || own[0].Hash != poison.Content {
+		t.Errorf("%d notices of which the first is of %s, want %d and %s", len(own), own[0].Hash, MaxOwn, poison.Content)
+	}
+}
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -20,6 +20,7 @@
 	round   uint64
 	crashes map[proto.HostID]int
 	expiry  time.Time
+	own     bool // this node, or an earlier run of it, counted a crash
 }
 
 func (r *record) count() int {
@@ -42,6 +43,9 @@
 	running        map[Fingerprint]int    // number of copies in flight
 	suspect        Fingerprint            // the suspect in flight, if any
 	suspectRunning bool
+	// runs are the origins of this node: this run and the earlier ones whose counts it
+	// inherited.
+	runs map[proto.HostID]bool
 }
 
 // NewRegistry returns an empty registry.
@@ -52,7 +56,10 @@
 	if cfg.MaxEntries == 0 {
 		cfg.MaxEntries = 4096
 	}
-	return &Registry{cfg: cfg, clock: clock, records: make(map[Hash]*list.Element), running: make(map[Fingerprint]int)}
+	return &Registry{
+		cfg: cfg, clock: clock, records: make(map[Hash]*list.Element), running: make(map[Fingerprint]int),
+		runs: map[proto.HostID]bool{cfg.Origin: true},
+	}
 }
 
 // Start admits a request to the target. A suspect is admitted only if no other
@@ -159,6 +166,7 @@
 			rec = r.insert(h)
 		}
 		rec.crashes[r.cfg.Origin]++
+		rec.own = true
 		rec.expiry = latest(rec.expiry, r.clock.Now().Add(r.cfg.TTL))
 		notices = append(notices, r.notice(rec))
 	}
@@ -199,44 +207,114 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, n := range notices {
-		expiry := time.UnixMilli(n.Expiry)
-		if !expiry.After(r.clock.Now()) {
-			continue
+		r.merge(n)
+	}
+}
+
+// merge merges a notice and returns its record, or nil if the notice has expired.
+func (r *Registry) merge(n Notice) *record {
+	expiry := time.UnixMilli(n.Expiry)
+	if !expiry.After(r.clock.Now()) {
+		return nil
+	}
+	rec := r.find(n.Hash)
+	if rec == nil {
+		rec = r.insert(n.Hash)
+	}
+	if n.Round > rec.round {
+		rec.round, rec.crashes = n.Round, make(map[proto.HostID]int)
+	}
+	// The expiry is the latest of all rounds: a lifted record must be kept
+	// for longer than the notices of older rounds are valid.
+	rec.expiry = latest(rec.expiry, expiry)
+	if n.Round == rec.round && n.Count > rec.crashes[n.Origin] {
+		rec.crashes[n.Origin] = n.Count
+	}
+	return rec
+}
+
+// Inherit merges what an earlier run of this node recorded. From then on Own returns it
+// as well.
+func (r *Registry) Inherit(notices ...Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range notices {
+		r.runs[n.Origin] = true
+		if rec := r.merge(n); rec != nil {
+			rec.own = true
 		}
-		rec := r.find(n.Hash)
-		if rec == nil {
-			rec = r.insert(n.Hash)
+	}
+}
+
+// MaxOwn bounds the hashes that Own returns.
+const MaxOwn = 64
+
+// Own returns the crashes that this node and its earlier runs counted, in a fixed order,
+// with at most MaxOwn hashes: quarantined ones first, then suspects and then cleared
+// ones, of which the round must not be used again. The node that counted a crash is the
+// one that records it.
+func (r *Registry) Own() []Notice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var records []*record
+	for e := r.lru.Front(); e != nil; e = e.Next() {
+		if rec := e.Value.(*record); rec.own && rec.expiry.After(r.clock.Now()) {
+			records = append(records, rec)
 		}
-		if n.Round > rec.round {
-			rec.round, rec.crashes = n.Round, make(map[proto.HostID]int)
+	}
+	slices.SortFunc(records, func(a, b *record) int {
+		return cmp.Or(
+			cmp.Compare(min(b.count(), crashLimit), min(a.count(), crashLimit)),
+			b.expiry.Compare(a.expiry), cmp.Compare(a.hash, b.hash),
+		)
+	})
+	var notices []Notice
+	for _, rec := range records[:min(len(records), MaxOwn)] {
+		before := len(notices)
+		for _, n := range r.notices(rec) {
+			if n.Count > 0 && r.runs[n.Origin] {
+				notices = append(notices, n)
+			}
 		}
-		// The expiry is the latest of all rounds: a lifted record must be kept
-		// for longer than the notices of older rounds are valid.
-		rec.expiry = latest(rec.expiry, expiry)
-		if n.Round == rec.round && n.Count > rec.crashes[n.Origin] {
-			rec.crashes[n.Origin] = n.Count
+		if len(notices) == before {
+			n := r.notice(rec)
+			n.Count = 0
+			notices = append(notices, n)
 		}
 	}
+	return notices
 }
 
-// Notices returns the whole state, for nodes that joined late or missed notices.
-func (r *Registry) Notices() []Notice {
+// Notices returns what this node knows of a request.
+func (r *Registry) Notices(f Fingerprint) []Notice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var notices []Notice
-	for e := r.lru.Front(); e != nil; e = e.Next() {
-		rec := e.Value.(*record)
-		n := r.notice(rec)
-		if len(rec.crashes) == 0 {
-			notices = append(notices, n)
-		}
-		for n.Origin, n.Count = range rec.crashes {
-			notices = append(notices, n)
+	for _, h := range f.hashes() {
+		if rec := r.find(h); rec != nil {
+			notices = append(notices, r.notices(rec)...)
 		}
 	}
 	return notices
 }
 
+// notices returns the notices of all nodes that saw crashes, or the one that the hash
+// is cleared.
+func (r *Registry) notices(rec *record) []Notice {
+	n := r.notice(rec)
+	if len(rec.crashes) == 0 {
+		return []Notice{n}
+	}
+	var notices []Notice
+	for n.Origin, n.Count = range rec.crashes {
+		notices = append(notices, n)
+	}
+	slices.SortFunc(notices, func(a, b Notice) int {
+		return cmp.Or(cmp.Compare(a.Origin.Name, b.Origin.Name), cmp.Compare(a.Origin.Incarnation, b.Origin.Incarnation))
+	})
+	return notices
+}
+
 // List returns the hashes of suspect and quarantined requests, in order.
 func (r *Registry) List() []Entry {
 	r.mu.Lock()
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -156,6 +156,10 @@
 	if j.request.callerLeft() {
 		return notRun(ReasonCallerGone, 0)
 	}
+	// The node of the target may have restarted and not know it yet.
+	if r.guard.Known(j.fingerprint()).Quarantined() {
+		return notRun(ReasonQuarantined, maxRetryAfter)
+	}
 	if j.keyed {
 		return r.dispatchKeyed(ctx, j)
 	}
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -71,6 +71,7 @@
 var outcomes = []proto.Outcome{proto.Answered, proto.NotRun, proto.Unknown}
 
 func (r *Router) forward(ctx context.Context, j *job, m fleet.Member) Result {
+	r.warn(ctx, j, m)
 	now := r.cfg.Clock.Elapsed()
 	req := j.request
 	msg := forwardedRequest{
--- a/serve/local.go
+++ b/serve/local.go
@@ -39,6 +39,7 @@
 	objective  time.Duration // until when a response meets the latency objective
 	deadline   time.Duration
 	triedNodes []string // nodes whose targets received the request
+	print      poison.Fingerprint
 }
 
 // runLocal runs a request on the local target.
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,7 +40,7 @@
 func (r *Router) runGuarded(ctx context.Context, j *job, t *fleet.Target, remaining time.Duration) (Response, error) {
 	var response Response
 	var err error
-	f := fingerprint(j)
+	f := j.fingerprint()
 	known := r.guard.Known(f)
 	crashed, refusal := r.guard.Run(f, r.cfg.Target.NotListening, func() poison.Outcome {
 		var advice Advice
@@ -65,12 +66,30 @@
 	return response, err
 }
 
-func fingerprint(j *job) poison.Fingerprint {
-	key := ""
-	if j.keyed {
-		key = strconv.Itoa(j.request.Key)
+// fingerprint returns the fingerprint of the request, by which crashes are counted.
+func (j *job) fingerprint() poison.Fingerprint {
+	if j.print == (poison.Fingerprint{}) {
+		key := ""
+		if j.keyed {
+			key = strconv.Itoa(j.request.Key)
+		}
+		j.print = poison.NewFingerprint(j.service, j.request.Method, j.request.Path, key, j.request.Body, uuid.Nil)
+	}
+	return j.print
+}
+
+// warn tells the node to which a suspect request is forwarded what this node knows of
+// it, as that node may have missed the notices. Other requests do not wait for this.
+func (r *Router) warn(ctx context.Context, j *job, m fleet.Member) {
+	f := j.fingerprint()
+	if !r.guard.Known(f).Suspect() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	if _, err := peer.Call[struct{}](ctx, r.cfg.Peers, m.Address, MethodNotice, noticeMessage{r.guard.Notices(f)}); err != nil {
+		eventNoticeLost.Log(ctx, r.cfg.Log, slog.Int("nodes", 1), slog.Int("failed", 1), slog.String("error", err.Error()))
 	}
-	return poison.NewFingerprint(j.service, j.request.Method, j.request.Path, key, j.request.Body, uuid.Nil)
 }
 
 // guardOutcome returns what the error of Target.Run tells about a crash of the
@@ -87,15 +106,19 @@
 }
 
 // notify tells the other nodes of the target's service which requests a crash
-// affects, and waits for their replies.
+// affects, and waits for their replies. Nodes that it misses, and those of other
+// services, read it from the store.
 func (r *Router) notify(notices []poison.Notice) {
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+	defer cancel()
+	crash := slices.ContainsFunc(notices, func(n poison.Notice) bool { return n.Count > 0 })
+	// An error means that the fleet's control loop, and with it the node, has ended.
+	_ = r.cfg.Fleet.RecordCrashes(ctx, crash)
 	v := r.cfg.Fleet.View()
 	t := v.Target()
 	if t == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
-	defer cancel()
 	results := make(chan error)
 	calls := 0
 	v.Members(func(m fleet.Member) {
@@ -127,6 +150,8 @@
 		return nil, fmt.Errorf("decode notices: %w", err)
 	}
 	r.guard.Merge(msg.Notices)
+	// An error means that the fleet's control loop, and with it the node, has ended.
+	_ = r.cfg.Fleet.RecordCrashes(ctx, false)
 	eventNoticesReceived.Log(ctx, r.cfg.Log, noticeAttrs(msg.Notices)...)
 	return cbor.Marshal(struct{}{})
 }
--- a/serve/poison_test.go
+++ b/serve/poison_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"burdocklift/emul"
+	"burdocklift/proto"
 	"burdocklift/serve"
 )
 
@@ -40,6 +41,15 @@
 	})
 }
 
+// sendPoison sends a poison request to a node and waits until the targets are back.
+func sendPoison(s *site, entry string) serve.Result {
+	req := newRequest("poison", "read")
+	req.Path = "/read/poison"
+	res := s.routers[entry].Serve(context.Background(), req)
+	time.Sleep(2 * time.Second)
+	return res
+}
+
 func assertCrashes(t *testing.T, crashes *atomic.Int32, want int32) {
 	t.Helper()
 	if n := crashes.Load(); n != want {
@@ -78,3 +88,107 @@
 		}
 	})
 }
+
+// Guards against a quarantine that ends when nodes restart: in turn, half of them at a
+// time or all at once.
+func TestQuarantineOutlastsRestarts(t *testing.T) {
+	all := []string{"b1", "b2", "b3", "a1"}
+	services := map[string]string{"a1": "desk", "b1": "archive", "b2": "archive", "b3": "archive"}
+	for name, groups := range map[string][][]string{
+		"in turn":        {all[:1], all[1:2], all[2:3], all[3:]},
+		"half at a time": {all[:2], all[2:]},
+		"all at once":    {all},
+	} {
+		t.Run(name, func(t *testing.T) {
+			onCrashingSite(t, func(t *testing.T, s *site, crashes *atomic.Int32) {
+				for range 3 {
+					sendPoison(s, "a1")
+				}
+				assertCrashes(t, crashes, 2)
+				for _, group := range groups {
+					for _, n := range group {
+						s.stops[n]()
+					}
+					for _, n := range group {
+						s.launch(context.Background(), n, services[n])
+					}
+					time.Sleep(2 * time.Second)
+					for _, entry := range all {
+						if res := sendPoison(s, entry); res.Outcome != proto.NotRun {
+							t.Errorf("outcome through %s is %s, want %s", entry, res.Outcome, proto.NotRun)
+						}
+						assertResult(t, s.routers[entry].Serve(context.Background(), newRequest("harmless", "read")), proto.Answered, serve.ReasonAnswered)
+					}
+				}
+				assertCrashes(t, crashes, 2)
+			})
+		})
+	}
+}
+
+// Guards against a node that restarts during an outage of the store and learns nothing of
+// a crash that the forwarding node knows.
+func TestForwardTellsOfEarlierCrash(t *testing.T) {
+	onCrashingSite(t, func(t *testing.T, s *site, crashes *atomic.Int32) {
+		s.ledger.SetFaults(emul.LedgerFaults{Down: true})
+		crashing(s.targets["b1"], crashes, time.Minute)
+		for _, name := range []string{"b2", "b3"} {
+			s.targets[name].reply = failWith(serve.ErrNotSent)
+		}
+		for crashes.Load() == 0 {
+			sendPoison(s, "b1")
+		}
+		s.targets["b1"].reply = failWith(serve.ErrNotSent)
+		s.prepare = func(target *fakeTarget) { crashing(target, crashes, time.Minute) }
+		s.stops["b2"]()
+		s.launch(context.Background(), "b2", "archive")
+		time.Sleep(2 * time.Second)
+		for i := 0; i < 20 && crashes.Load() == 1; i++ {
+			sendPoison(s, "b1")
+		}
+		assertCrashes(t, crashes, 2)
+		assertSuspect(t, s.routers["b2"], 2)
+	})
+}
+
+// Guards against a quarantined request that is forwarded although this node knows better.
+func TestQuarantinedRequestIsNotForwarded(t *testing.T) {
+	onCrashingSite(t, func(t *testing.T, s *site, crashes *atomic.Int32) {
+		for range 3 {
+			sendPoison(s, "a1")
+		}
+		assertCrashes(t, crashes, 2)
+		for _, name := range []string{"b1", "b2", "b3"} {
+			s.stops[name]()
+		}
+		assertResult(t, sendPoison(s, "a1"), proto.NotRun, serve.ReasonQuarantined)
+	})
+}
+
+// Guards against a crash that costs the store more than the write of the member record.
+func TestCrashIsRecordedWithMember(t *testing.T) {
+	onCrashingSite(t, func(t *testing.T, s *site, crashes *atomic.Int32) {
+		req := newRequest("poison", "read")
+		req.Path, req.Method = "/read/poison", "POST"
+		s.routers["b1"].Serve(context.Background(), req)
+		if crashes.Load() == 0 {
+			t.Fatal("no target crashed")
+		}
+		time.Sleep(500 * time.Millisecond)
+		recorded := 0
+		for _, name := range []string{"b1", "b2", "b3"} {
+			it, err := s.ledger.Client("test").Read(context.Background(), "burdocklift/crash/"+name)
+			if err != nil {
+				continue
+			}
+			recorded++
+			member, err := s.ledger.Client("test").Read(context.Background(), "burdocklift/node/"+name)
+			if err != nil || member.Rev != it.Rev {
+				t.Errorf("crash at %s is written at revision %d, its member record at %d, %v", name, it.Rev, member.Rev, err)
+			}
+		}
+		if recorded != int(crashes.Load()) {
+			t.Errorf("%d nodes recorded a crash, want %d", recorded, crashes.Load())
+		}
+	})
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -192,6 +192,7 @@
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
+	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
 	return r
