client: answers that state their length come before bodies without end

Callers whose answers had 256 KiB or 1 MiB got 502 with the reason large while a faulty target sent other answers without end (cmds.TestEndlessAnswersBesideOthers, which follows: body without a length and in chunks). The node itself stayed within its memory, 107 of 184 MiB.

All bodies above 64 KiB share an eighth of the memory, in the order in which their bytes arrive, so that bodies without end used it up again and again. A stated length bounds a body. Such a one now takes memory from those without, and one without from a larger one; the body that gives way ends as too large, which is what would have become of it at its bound.

TestStatedLengthsBesideEndlessBodies before: 5 of 5 answers of 1 MiB fail with "no memory for more than 131072 bytes".

--- a/client/client.go
+++ b/client/client.go
@@ -224,7 +224,7 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		body, err := p.bodies.readBody(resp)
+		body, err := p.bodies.readBody(resp, func() { _ = c.Close() })
 		if err != nil {
 			return Answer{}, false, fmt.Errorf("%w: %w", ErrUnclear, err)
 		}
--- a/client/endless_test.go
+++ b/client/endless_test.go
@@ -112,6 +112,46 @@
 	}
 }
 
+// Guards against bodies without end that take the memory from answers that state their
+// length.
+func TestStatedLengthsBesideEndlessBodies(t *testing.T) {
+	const size = 1 << 20
+	p := serveWith(t, answerMemory, func(c net.Conn, r *bufio.Reader) {
+		id, ok := readRequest(r)
+		if !ok {
+			return
+		}
+		head := "HTTP/1.1 200 OK\r\nConnection: close\r\n" + idHeader + ": " + id + "\r\n"
+		if id == "stated" {
+			write(c, head+"Content-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("x", size))
+			return
+		}
+		write(c, head+"\r\n"+strings.Repeat("x", answerMemory/4))
+		_, _ = r.ReadByte() // until the other side closes
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 8)
+	for range cap(ended) {
+		go func() {
+			_, err := p.Do(ctx, &client.Request{Method: http.MethodGet, Path: "/", Host: "h", ID: "endless"})
+			ended <- err
+		}()
+	}
+	time.Sleep(200 * time.Millisecond) // until they have taken the memory
+	for range 5 {
+		if a, err := do(p, "stated"); err != nil || len(a.Body) != size {
+			t.Errorf("answer of %d bytes came with %d bytes, %v", size, len(a.Body), err)
+		}
+	}
+	cancel()
+	for range cap(ended) {
+		if err := <-ended; !errors.Is(err, client.ErrUnclear) {
+			t.Errorf("error of an answer that does not end is %v", err)
+		}
+	}
+}
+
 // sized serves a target that answers with a body of as many bytes as the ID of the
 // request says, with or without a length. To other requests it sends 6 MiB of a
 // body and then nothing.
--- a/client/limit.go
+++ b/client/limit.go
@@ -7,7 +7,7 @@
 	"math"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 )
 
 // ErrTooLarge means that an answer is longer than this side can hold. It comes
@@ -55,51 +55,119 @@
 }
 
 // bodyBudget is the memory for the bodies that are being read, without the small
-// ones.
+// ones. It is lent to bodies with a stated length first, as the others may be without
+// end.
 type bodyBudget struct {
 	size int64
-	used atomic.Int64
+
+	mu    sync.Mutex
+	used  int64
+	reads map[*bodyRead]struct{} // that hold a part of the budget
+}
+
+// bodyRead is a body that is being read.
+type bodyRead struct {
+	measured bool   // its length was stated
+	abort    func() // ends the reading
+	reserved int64
+	evicted  bool // its part went to another body
+}
+
+// reserve reports whether a body may take a number of bytes in all. If there are not as
+// many, the largest body that has to give way ends.
+func (b *bodyBudget) reserve(r *bodyRead, total int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := total - r.reserved
+	for !r.evicted && b.used+n > b.size {
+		largest := b.largest(r, total)
+		if largest == nil {
+			return false
+		}
+		largest.evicted = true
+		b.free(largest)
+		largest.abort()
+	}
+	if r.evicted {
+		return false
+	}
+	if b.reads == nil {
+		b.reads = make(map[*bodyRead]struct{})
+	}
+	b.reads[r] = struct{}{}
+	r.reserved += n
+	b.used += n
+	return true
 }
 
-// reserve reports whether a body may take n bytes more.
-func (b *bodyBudget) reserve(n int64) bool {
-	if b.used.Add(n) <= b.size {
-		return true
+// largest returns the largest body that gives way to one that wants a number of bytes in
+// all, or nil. A body without a stated length gives way to one with it, and to a smaller
+// one.
+func (b *bodyBudget) largest(r *bodyRead, total int64) *bodyRead {
+	var largest *bodyRead
+	for o := range b.reads {
+		givesWay := o != r && !o.measured && (r.measured || o.reserved > total)
+		if givesWay && (largest == nil || o.reserved > largest.reserved) {
+			largest = o
+		}
 	}
-	b.used.Add(-n)
-	return false
+	return largest
+}
+
+// release returns the part of a body that has been read or given up, and reports whether
+// it had gone to another one.
+func (b *bodyBudget) release(r *bodyRead) (evicted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.free(r)
+	return r.evicted
+}
+
+func (b *bodyBudget) free(r *bodyRead) {
+	b.used -= r.reserved
+	r.reserved = 0
+	delete(b.reads, r)
 }
 
 // readBody reads the body of an answer to its end. The buffer grows with the bytes
-// that have arrived, whatever length the answer claims.
-func (b *bodyBudget) readBody(r *http.Response) ([]byte, error) {
+// that have arrived, whatever length the answer claims. The function abort makes reading
+// fail.
+func (b *bodyBudget) readBody(r *http.Response, abort func()) ([]byte, error) {
 	limit := min(max(b.size/largestShare, smallBody), maxBody)
 	if r.Body != http.NoBody && r.ContentLength > limit {
 		return nil, fmt.Errorf("%w: length %d, at most %d bytes are accepted", ErrTooLarge, r.ContentLength, limit)
 	}
-	reserved := int64(0)
-	defer func() { b.used.Add(-reserved) }()
+	read := &bodyRead{measured: r.ContentLength >= 0, abort: abort}
+	body, err := b.readAll(r.Body, read, limit)
+	if b.release(read) {
+		return nil, fmt.Errorf("%w: memory for more than %d bytes went to other answers", ErrTooLarge, len(body))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
+// readAll reads a body to its end. With an error it returns what has been read before.
+func (b *bodyBudget) readAll(body io.Reader, read *bodyRead, limit int64) ([]byte, error) {
 	out := make([]byte, 0, firstBuffer)
 	for {
 		if len(out) == cap(out) {
 			size := min(2*int64(cap(out)), limit+1)
-			if grown := size - smallBody - reserved; grown > 0 {
-				if !b.reserve(grown) {
-					return nil, fmt.Errorf("%w: no memory for more than %d bytes", ErrTooLarge, len(out))
-				}
-				reserved += grown
+			if size > smallBody && !b.reserve(read, size-smallBody) {
+				return out, fmt.Errorf("%w: no memory for more than %d bytes", ErrTooLarge, len(out))
 			}
 			out = append(make([]byte, 0, size), out...)
 		}
-		n, err := r.Body.Read(out[len(out):cap(out)])
+		n, err := body.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
 		switch {
 		case int64(len(out)) > limit:
-			return nil, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
+			return out, fmt.Errorf("%w: more than %d bytes", ErrTooLarge, limit)
 		case errors.Is(err, io.EOF):
 			return out, nil
 		case err != nil:
-			return nil, fmt.Errorf("body of %d bytes is not whole: %w", len(out), err)
+			return out, fmt.Errorf("body of %d bytes is not whole: %w", len(out), err)
 		}
 	}
 }
