fleet: a crash costs the store no write of its own

The record of crashes was written by itself 0.1 s after the crash at the latest, while the change of the member record waits for the notices to other nodes, up to 0.3 s where one of them is gone. It now waits for 0.35 s, so that both are one write in that case as well. A test of 40 targets that crash at once compares the revisions of both records.

--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -17,9 +17,10 @@
 const prefixCrashes = prefixOwn + "crash/"
 
 const (
-	// crashRecordDelay is how long after a crash the record is written at the latest. By
-	// then most crashes have changed the member record, and both are one write.
-	crashRecordDelay = 100 * time.Millisecond
+	// crashRecordDelay is how long after a crash the record is written by itself. Before,
+	// the crash changes the member record, and both are one write: once other nodes were
+	// told, which takes 300 ms at most.
+	crashRecordDelay = 350 * time.Millisecond
 	// crashRecordInterval is the time between two writes of the record. A target that
 	// crashed is back after some seconds.
 	crashRecordInterval = 2 * time.Second
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -119,3 +122,49 @@
 		assertAllHeld(t, w)
 	})
 }
+
+// Guards against calls to the store that grow with the number of targets that crash at the
+// same moment: the records of crashes are written with those of the members.
+func TestCrashesOfManyTargetsCostNoWrites(t *testing.T) {
+	const nodes, notices = 40, 24
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newSite(ctx, t, nil)
+		defer w.stop()
+		logs := make(map[string]*crashLog)
+		for i := range nodes {
+			name := fmt.Sprintf("%c%d", 'a'+i%4, i)
+			logs[name] = &crashLog{}
+			w.crashLog = logs[name]
+			w.startNode(name)
+			w.startTarget(name)
+		}
+		time.Sleep(6 * time.Second)
+		var group sync.WaitGroup
+		for name, log := range logs {
+			group.Go(func() {
+				inc := w.node(name).View().Target().Incarnation
+				w.crashTarget(name)
+				own := make([]poison.Notice, notices)
+				for i := range own {
+					own[i] = poison.Notice{Hash: poison.Hash(i), Count: 1, Expiry: time.Now().Add(time.Hour).UnixMilli()}
+				}
+				log.own.Store(&own)
+				err := errors.Join(w.node(name).RecordCrashes(ctx, true), w.node(name).MarkTargetEnded(ctx, inc))
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		group.Wait()
+		time.Sleep(1500 * time.Millisecond)
+		for name := range logs {
+			record, err := w.ledger.Client("test").Read(ctx, crashKey(name))
+			member, memberErr := w.ledger.Client("test").Read(ctx, "burdocklift/node/"+name)
+			if err = errors.Join(err, memberErr); err != nil || record.Rev != member.Rev {
+				t.Errorf("crashes at %s are written at revision %d, the member record at %d, %v", name, record.Rev, member.Rev, err)
+			}
+		}
+	})
+}
