--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -127,7 +127,7 @@
 	f.mustReload.Store(true)
 	// The target may hold keys that an earlier run of this node granted.
 	f.local.holdEndsBy = now + maxHold
-	f.local.earlierEndBy = f.local.holdEndsBy
+	f.local.earlierHoldEndsBy = f.local.holdEndsBy
 	f.releases.unsent = make(map[string][]span.Release)
 	f.releases.fromPeers = make(map[string][]peerRelease)
 	f.revoker.revocations = make(map[string]*revocation)
--- a/fleet/local.go
+++ b/fleet/local.go
@@ -73,8 +73,8 @@
 	holdEndsBy   time.Duration    // latest end of any hold granted
 	pending      []pendingRelease // releases that are not recorded yet
 	leavingSince time.Duration    // when the target was first known to leave
-	// earlierEndBy is the latest end of any hold that an earlier run of this node granted.
-	earlierEndBy time.Duration
+	// earlierHoldEndsBy is the latest end of any hold that an earlier run of this node granted.
+	earlierHoldEndsBy time.Duration
 
 	limit           float64       // requests a second that the target names
 	limitKnown      bool          // the target named a limit, or ended one, to this run
@@ -115,7 +115,7 @@
 // receive applies a heartbeat that is not stale. Leaving is final for an incarnation.
 func (l *localTarget) receive(hb Heartbeat, now time.Duration) {
 	if !l.present || hb.Incarnation != l.heartbeat.Incarnation {
-		*l = localTarget{holdEndsBy: l.holdEndsBy, earlierEndBy: l.earlierEndBy, pending: l.pending}
+		*l = localTarget{holdEndsBy: l.holdEndsBy, earlierHoldEndsBy: l.earlierHoldEndsBy, pending: l.pending}
 	} else {
 		hb.Leaving = hb.Leaving || l.heartbeat.Leaving
 	}
@@ -238,7 +238,7 @@
 	}
 	// A heartbeat from before the grants of an earlier run may arrive late, and this run
 	// does not know the sequence numbers that the earlier one saw.
-	if now < l.earlierEndBy {
+	if now < l.earlierHoldEndsBy {
 		return false
 	}
 	overlaps := func(k KeyRange) bool { return k.From <= r.To && r.From <= k.To }
--- a/serve/local.go
+++ b/serve/local.go
@@ -38,8 +38,8 @@
 	age        time.Duration // since the caller's first attempt
 	objective  time.Duration // until when a response meets the latency objective
 	deadline   time.Duration
-	triedNodes []string // nodes whose targets received the request
-	print      poison.Fingerprint
+	triedNodes []string           // nodes whose targets received the request
+	identity   poison.Fingerprint // zero until fingerprint is called
 }
 
 // runLocal runs a request on the local target.
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -68,14 +68,14 @@
 
 // fingerprint returns the fingerprint of the request, by which crashes are counted.
 func (j *job) fingerprint() poison.Fingerprint {
-	if j.print == (poison.Fingerprint{}) {
+	if j.identity == (poison.Fingerprint{}) {
 		key := ""
 		if j.keyed {
 			key = strconv.Itoa(j.request.Key)
 		}
-		j.print = poison.NewFingerprint(j.service, j.request.Method, j.request.Path, key, j.request.Body, uuid.Nil)
+		j.identity = poison.NewFingerprint(j.service, j.request.Method, j.request.Path, key, j.request.Body, uuid.Nil)
 	}
-	return j.print
+	return j.identity
 }
 
 // warn tells the node to which a suspect request is forwarded what this node knows of
