--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -29,7 +29,7 @@
 	clearRecordDelay = 5 * time.Second
 	// crashRemovalInterval is the time between two searches for records to be removed.
 	crashRemovalInterval = time.Minute
-	// maxCrashNotices bounds the notices of a record, each of which has about 45 bytes.
+	// maxCrashNotices bounds the notices of a record, each of which has about 40 bytes.
 	maxCrashNotices = 1024
 )
 
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"maps"
 	"reflect"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
@@ -302,3 +304,30 @@
 		t.Errorf("%d notices of which the first is of %s, want %d and %s", len(own), own[0].Hash, MaxOwn, poison.Content)
 	}
 }
+
+// BenchmarkRegistryMemory reports the memory of a full registry and the size of the
+// largest record that a node writes.
+func BenchmarkRegistryMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		rs, clock := newRegistries(1, 0)
+		expiry := clock.Now().Add(time.Hour).UnixMilli()
+		for n := range 4096 {
+			origin := proto.HostID{Incarnation: 1<<63 + uint64(n/MaxOwn)}
+			rs[0].Merge(Notice{Hash: 1<<63 + Hash(n), Origin: origin, Count: 1, Expiry: expiry})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		for n := range MaxOwn {
+			rs[0].Inherit(Notice{Hash: 1<<63 + Hash(n), Origin: proto.HostID{Incarnation: 1 << 63}, Count: 1, Expiry: expiry})
+		}
+		record, err := cbor.Marshal(rs[0].Own())
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/4096, "B/hash")
+		b.ReportMetric(float64(len(record)), "B/record")
+	}
+}
