serve: a stalled control loop delays no crash notices

Cause: the node of a crashed target handed the crash to its control loop before it sent the notices, both within the same 300 ms. If the loop took no step in that time, no notice was sent and the crash was not recorded either: the step that marks the record was given up with the time limit. The node that receives a notice likewise waited for its loop before it replied.

Change: RecordCrashes marks the record under a lock and waits for nothing; the loop writes it at its next step.

--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
-	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -33,8 +33,7 @@
 	maxCrashNotices = 1024
 )
 
-// CrashLog holds the crashes of targets by the requests that were in flight. It is called
-// on the control loop.
+// CrashLog holds the crashes of targets by the requests that were in flight.
 type CrashLog interface {
 	// Merge merges what another node has recorded.
 	Merge(notices []poison.Notice)
@@ -44,12 +43,16 @@
 	Own() []poison.Notice
 }
 
-// crashRecord is the state of this node's record of crashes. It is owned by the loop.
+// crashRecord is the state of this node's record of crashes.
 type crashRecord struct {
-	log       CrashLog
+	log CrashLog
+
+	mu        sync.Mutex
 	changed   bool          // the record may be out of date
 	dueAt     time.Duration // latest time of the next write
 	writtenAt time.Duration
+
+	// The fields below are owned by the loop.
 	expiries  map[string]time.Time // when the last notice of each node's record expires
 	removalAt time.Duration        // of the next search for records to be removed
 }
@@ -59,13 +62,12 @@
 func (f *Fleet) SetCrashLog(l CrashLog) { f.crashes.log = l }
 
 // RecordCrashes makes this node record its crashes, after a crash of its target or after
-// requests were cleared.
-func (f *Fleet) RecordCrashes(ctx context.Context, crash bool) error {
-	return f.query(ctx, func(now time.Duration) { f.markCrashes(now, crash) })
-}
-
-func (f *Fleet) markCrashes(now time.Duration, crash bool) {
+// requests were cleared. It does not wait for the control loop, which may be stalled.
+func (f *Fleet) RecordCrashes(crash bool) {
 	c := &f.crashes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := f.cfg.Clock.Elapsed()
 	due := now + clearRecordDelay
 	if crash {
 		due = now + crashRecordDelay
@@ -81,19 +83,24 @@
 
 // crashTxn writes this node's record of crashes if it is due.
 func (f *Fleet) crashTxn(now time.Duration) (store.Txn, string) {
-	if now < f.crashes.dueAt {
-		return store.Txn{}, ""
-	}
 	var txn store.Txn
-	if !f.addCrashes(&txn, now) {
+	if !f.crashes.due(now) || !f.addCrashes(&txn, now) {
 		return store.Txn{}, ""
 	}
 	return txn, "crashes"
 }
 
+func (c *crashRecord) due(now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed && now >= c.dueAt
+}
+
 // addCrashes adds this node's record of crashes to a write if it has changed.
 func (f *Fleet) addCrashes(txn *store.Txn, now time.Duration) bool {
 	c := &f.crashes
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.changed || c.log == nil {
 		return false
 	}
@@ -166,8 +173,11 @@
 	if !f.planner.leads.Load() || now < c.removalAt {
 		return store.Txn{}, ""
 	}
+	c.mu.Lock()
+	changed := c.changed
+	c.mu.Unlock()
 	for name, at := range c.expiries {
-		if name == f.cfg.Name && c.changed || at.After(f.cfg.Clock.Now()) {
+		if name == f.cfg.Name && changed || at.After(f.cfg.Clock.Now()) {
 			continue
 		}
 		key := prefixCrashes + name
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -77,9 +77,7 @@
 				revs := make(map[uint64]bool)
 				for n := range 100 {
 					log.own.Store(&[]poison.Notice{{Hash: 7, Count: n + 1, Expiry: time.Now().Add(time.Hour).UnixMilli()}})
-					if err := f.RecordCrashes(context.Background(), true); err != nil {
-						t.Fatal(err)
-					}
+					f.RecordCrashes(true)
 					time.Sleep(100 * time.Millisecond)
 					if n == 50 {
 						w.setFaults(func(f *emul.LedgerFaults) { f.Down = false })
@@ -151,8 +149,8 @@
 					own[i] = poison.Notice{Hash: poison.Hash(i), Count: 1, Expiry: time.Now().Add(time.Hour).UnixMilli()}
 				}
 				log.own.Store(&own)
-				err := errors.Join(w.node(name).RecordCrashes(ctx, true), w.node(name).MarkTargetEnded(ctx, inc))
-				if err != nil {
+				w.node(name).RecordCrashes(true)
+				if err := w.node(name).MarkTargetEnded(ctx, inc); err != nil {
 					t.Error(err)
 				}
 			})
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -109,11 +109,9 @@
 // affects, and waits for their replies. Nodes that it misses, and those of other
 // services, read it from the store.
 func (r *Router) notify(notices []poison.Notice) {
+	r.cfg.Fleet.RecordCrashes(slices.ContainsFunc(notices, func(n poison.Notice) bool { return n.Count > 0 }))
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
-	crash := slices.ContainsFunc(notices, func(n poison.Notice) bool { return n.Count > 0 })
-	// An error means that the fleet's control loop, and with it the node, has ended.
-	_ = r.cfg.Fleet.RecordCrashes(ctx, crash)
 	v := r.cfg.Fleet.View()
 	t := v.Target()
 	if t == nil {
@@ -150,8 +148,7 @@
 		return nil, fmt.Errorf("decode notices: %w", err)
 	}
 	r.guard.Merge(msg.Notices)
-	// An error means that the fleet's control loop, and with it the node, has ended.
-	_ = r.cfg.Fleet.RecordCrashes(ctx, false)
+	r.cfg.Fleet.RecordCrashes(false)
 	eventNoticesReceived.Log(ctx, r.cfg.Log, noticeAttrs(msg.Notices)...)
 	return cbor.Marshal(struct{}{})
 }
--- a/serve/poison_test.go
+++ b/serve/poison_test.go
@@ -91,6 +91,35 @@
 	})
 }
 
+// Guards against a crash that other nodes learn of late, or from the store only, as the
+// control loops of all nodes are stalled.
+func TestNoticesDoNotWaitForControlLoop(t *testing.T) {
+	onCrashingSite(t, func(t *testing.T, s *site, crashes *atomic.Int32) {
+		s.ledger.Put("rules", stallingRules)
+		time.Sleep(200 * time.Millisecond) // until all control loops decode the rules
+		req := newRequest("poison", "fetch")
+		req.Path = "/fetch/poison"
+		done := make(chan serve.Result, 1)
+		go func() { done <- s.routers["a1"].Serve(context.Background(), req) }()
+		time.Sleep(200 * time.Millisecond)
+		assertCrashes(t, crashes, 1)
+		for _, name := range []string{"b1", "b2", "b3"} {
+			assertSuspect(t, s.routers[name], 1)
+		}
+		<-done
+		time.Sleep(2 * stallTime)
+		recorded := 0
+		for _, name := range []string{"b1", "b2", "b3"} {
+			if _, err := s.ledger.Client("test").Read(context.Background(), "burdocklift/crash/"+name); err == nil {
+				recorded++
+			}
+		}
+		if recorded != 1 {
+			t.Errorf("%d nodes recorded the crash, want 1", recorded)
+		}
+	})
+}
+
 // Guards against a quarantine that ends when nodes restart: in turn, half of them at a
 // time or all at once.
 func TestQuarantineOutlastsRestarts(t *testing.T) {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -1,6 +1,7 @@
 package serve_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -127,7 +128,15 @@
 	s.ledger.SetFaults(emul.LedgerFaults{Silent: map[string]bool{name: silent}})
 }
 
-func decodeRules([]byte) (*rules.Set, error) {
+// stallingRules are rules whose decoding stops the control loop for stallTime.
+var stallingRules = []byte("stall")
+
+const stallTime = time.Second
+
+func decodeRules(b []byte) (*rules.Set, error) {
+	if bytes.Equal(b, stallingRules) {
+		time.Sleep(stallTime)
+	}
 	route := func(name, service string, idempotent bool) rules.Route {
 		return rules.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Services: []rules.WeightedService{{Service: service, Weight: 1}},
