cmds: processes of tests keep their log, their ports and the order of a crash

Change: the log goes to the test's output. A target crashes before its handler goes on, so that no answer can be sent first; before, both were concurrent. Ports come from outside the range of outgoing connections: in 2 of 18 plays beside load a restarted node found its port taken ("address already in use") and the test failed.

--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -36,9 +38,14 @@
 	t.Helper()
 	p := &process{Cmd: exec.Command("burdocklift", args...)}
 	p.Stderr = t.Output()
-	out, err := p.StdoutPipe()
-	if err != nil {
-		t.Fatal(err)
+	var out io.Reader
+	if announces {
+		var err error
+		if out, err = p.StdoutPipe(); err != nil {
+			t.Fatal(err)
+		}
+	} else {
+		p.Stdout = t.Output() // the log; a process whose output nobody reads stops once the pipe is full
 	}
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
@@ -63,17 +70,23 @@
 	return p.Wait()
 }
 
-// freeAddresses returns loopback addresses whose ports were free just now.
+// freeAddresses returns loopback addresses whose ports were free just now. The kernel
+// gives none of them to an outgoing connection, so that a process can listen there again
+// after a restart.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	addresses := make([]string, n)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	const firstPort, ephemeral = 20000, 32768 // of the usual net.ipv4.ip_local_port_range
+	var addresses []string
+	for len(addresses) < n {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.N(ephemeral-firstPort)))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = l.Close() }()
-		addresses[i] = l.Addr().String()
+		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses
 }
--- a/cmds/quarantine_test.go
+++ b/cmds/quarantine_test.go
@@ -52,8 +52,9 @@
 			return
 		}
 		c.crashes.Add(1)
+		t.Logf("target of %s crashes at %s", a.name, e.ID)
+		target.Crash() // before the handler answers
 		go func() {
-			target.Crash()
 			time.Sleep(crashedTime)
 			c.startTarget(t, a)
 		}()
@@ -73,6 +74,7 @@
 			t.Errorf("node %s gives no answer: %v", a.name, err)
 		}
 		statuses = append(statuses, resp.Status)
+		t.Logf("node %s answers %s%d with %d, after %d crashes", a.name, poisonID, c.sent, resp.Status, c.crashes.Load())
 		if c.crashes.Load() > before {
 			time.Sleep(crashedTime + recordTime)
 		}
