serve: crash notices reach nodes whose target is not known yet

Cause: notices went to nodes with a known target of the service only. A node that has joined a moment ago, or whose registration the node of the crashed target has not read yet, was not told, and ran the request next.

Change: a member without a known target is told as well. Members whose target is of another service and revoked ones are not, as before.

--- a/serve/poison.go
+++ b/serve/poison.go
@@ -120,8 +120,8 @@
 	results := make(chan error)
 	calls := 0
 	v.Members(func(m fleet.Member) {
-		// A node whose target has just ended or is cut off runs requests again soon.
-		if m.Name == r.cfg.Name || m.Revoked || m.Target == nil || m.Target.Service != t.Service {
+		// A node runs requests soon if its target has just ended, is cut off or is not known yet.
+		if m.Name == r.cfg.Name || m.Revoked || m.Target != nil && m.Target.Service != t.Service {
 			return
 		}
 		calls++
--- a/serve/poison_test.go
+++ b/serve/poison_test.go
@@ -91,6 +91,24 @@
 	})
 }
 
+// Guards against a crash that is not told to a node whose target is not known yet, although
+// it is about to run requests.
+func TestNoticeReachesNodeWithoutTarget(t *testing.T) {
+	onCrashingSite(t, func(t *testing.T, s *site, crashes *atomic.Int32) {
+		s.launch(context.Background(), "b4", "")
+		time.Sleep(time.Second)
+		s.ledger.SetFaults(emul.LedgerFaults{Down: true}) // so that only notices tell of the crash
+		req := newRequest("poison", "fetch")
+		req.Path = "/fetch/poison"
+		s.routers["a1"].Serve(context.Background(), req)
+		assertCrashes(t, crashes, 1)
+		assertSuspect(t, s.routers["b4"], 1)
+		if n := len(s.routers["a1"].Suspects()); n > 0 {
+			t.Errorf("node of another service was told of %d requests, want none", n)
+		}
+	})
+}
+
 // Guards against a crash that other nodes learn of late, or from the store only, as the
 // control loops of all nodes are stalled.
 func TestNoticesDoNotWaitForControlLoop(t *testing.T) {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -105,7 +105,7 @@
 	})
 }
 
-// launch starts a node that restart can end.
+// launch starts a node that restart can end. Without a service, there is no target beside it.
 func (s *site) launch(ctx context.Context, name, service string) {
 	ctx, cancel := context.WithCancel(ctx)
 	end := s.start(ctx, name, service, s.ledger)
@@ -184,6 +184,9 @@
 // sendHeartbeats sends the heartbeats of a target that holds what it is
 // granted.
 func (s *site) sendHeartbeats(ctx context.Context, f *fleet.Fleet, name, service string) {
+	if service == "" {
+		return
+	}
 	b := fleet.Heartbeat{Target: fleet.Target{Incarnation: span.Incarnation{Target: name, StartedAt: 1}, Service: service, Slots: 2}}
 	for ctx.Err() == nil {
 		b.Sequence++
