cmds: tests give no port to two processes

Cause: ports that a test drew at random and freed again were drawn a second time for another process of the same test: 1 of 18 plays of TestQuarantineOutlastsKills failed with "address already in use" at the first start of a node.

Change: ports are taken in turn, from a random one on.

--- a/cmds/process_test.go
+++ b/cmds/process_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,15 +71,26 @@
 	return p.Wait()
 }
 
-// freeAddresses returns loopback addresses whose ports were free just now. The kernel
-// gives none of them to an outgoing connection, so that a process can listen there again
-// after a restart.
+// Ports of test processes are below the usual net.ipv4.ip_local_port_range: the kernel gives
+// none of them to an outgoing connection while a process that listens there restarts.
+const (
+	firstTestPort = 20000
+	testPorts     = 32768 - firstTestPort
+)
+
+// lastTestPort counts the ports that were tried. It begins anywhere, as other runs of the
+// tests may go on at the same time.
+var lastTestPort atomic.Uint32
+
+func init() { lastTestPort.Store(rand.Uint32N(testPorts)) }
+
+// freeAddresses returns loopback addresses whose ports were free just now. It returns no
+// address twice.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	const firstPort, ephemeral = 20000, 32768 // of the usual net.ipv4.ip_local_port_range
 	var addresses []string
 	for len(addresses) < n {
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.N(ephemeral-firstPort)))
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstTestPort+lastTestPort.Add(1)%testPorts))
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
 		}
