--- a/conf/agent.go
+++ b/conf/agent.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"reflect"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -17,9 +19,12 @@
 	Addresses  AgentAddress `toml:"addresses,required"`
 	Store      string       `toml:"store,required"` // IP address and port
 	// Memory is the bound on the process's memory in MiB.
-	Memory int         `toml:"memory,required"`
-	Limits AgentLimits `toml:"limits"`
-	Log    Log         `toml:"log"`
+	Memory int `toml:"memory,required"`
+	// Regions names the region of each data centre of the site. Without it, the names in the
+	// rules are not checked.
+	Regions map[string]string `toml:"regions"`
+	Limits  AgentLimits       `toml:"limits"`
+	Log     Log               `toml:"log"`
 }
 
 // AgentLimits are the bounds that a site sets to its nodes.
@@ -30,11 +35,18 @@
 	Ratio float64       `toml:"ratio"` // requests sent to targets once more, per request of a service
 	Slack float64       `toml:"slack"` // requests sent once more besides, over all nodes
 	Link  float64       `toml:"link"`  // rate of the host's link in Mbit/s, 0 for no limit
+	// A cold target gets at most its rate times ColdFactor and ColdSlack requests in any second.
+	ColdFactor float64 `toml:"cold_factor"`
+	ColdSlack  float64 `toml:"cold_slack"`
+	// Evacuation is the time from the acknowledgement of an evacuation until no request
+	// reaches targets of the data centre.
+	Evacuation time.Duration `toml:"evacuation"`
 }
 
 // defaultLimits are the bounds of the first two sites.
 var defaultLimits = AgentLimits{
 	Drain: 2 * time.Second, Stop: 6 * time.Second, Hold: 10 * time.Second, Ratio: 0.1, Slack: 10,
+	ColdFactor: 1, Evacuation: 5 * time.Second,
 }
 
 // AgentTarget is the target beside the node.
@@ -99,6 +111,19 @@
 	if s.Limits.Ratio < 0 || s.Limits.Ratio > 1 {
 		c.add("limits.ratio", "%v is out of range, must be from 0 to 1", s.Limits.Ratio)
 	}
+	if f := s.Limits.ColdFactor; !(f > 0 && f <= maxColdFactor) {
+		c.add("limits.cold_factor", "%v is out of range, must be over 0 and at most %v", f, maxColdFactor)
+	}
+	if f := s.Limits.ColdSlack; !(f >= 0 && f <= maxColdSlack) {
+		c.add("limits.cold_slack", "%v is out of range, must be from 0 to %v", f, maxColdSlack)
+	}
+	c.duration("limits.evacuation", s.Limits.Evacuation, time.Second, time.Minute)
+	for _, dc := range slices.Sorted(maps.Keys(s.Regions)) {
+		c.word("regions."+dc, s.Regions[dc], false)
+	}
+	if region, ok := s.Regions[s.DataCentre]; ok && region != s.Region {
+		c.add("regions."+s.DataCentre, "%q is not the region %q of this node", region, s.Region)
+	}
 	if !(s.Limits.Link >= 0 && s.Limits.Link <= maxLink) {
 		c.add("limits.link", "%v is out of range, must be from 0 to %v", s.Limits.Link, maxLink)
 	}
@@ -116,5 +141,11 @@
 // maxLink is the greatest rate of a link in Mbit/s.
 const maxLink = 1e6
 
+// maxColdFactor and maxColdSlack bound the settings for cold targets.
+const (
+	maxColdFactor = 100
+	maxColdSlack  = 1e4
+)
+
 // minMemory is the least memory of a node in MiB: an idle one takes 20.
 const minMemory = 48
--- a/conf/agent_test.go
+++ b/conf/agent_test.go
@@ -70,3 +70,19 @@
 		}
 	}
 }
+
+// TestAgentRegions guards against nodes that start with a region of their data centre
+// which the site's table contradicts, and against limits of cold targets without meaning.
+func TestAgentRegions(t *testing.T) {
+	for _, c := range []struct{ name, line, want string }{
+		{"region of the own data centre differs", "[regions]\na = \"rivers\"", "regions.a"},
+		{"name is not a word", "[regions]\nnembe = \"a b\"", "regions.nembe"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := ParseAgent("agent.toml", []byte(agentText+c.line+"\n"))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error is %v, want one that names %s", err, c.want)
+			}
+		})
+	}
+}
--- a/conf/decode.go
+++ b/conf/decode.go
@@ -242,6 +242,11 @@
 			c.array(path, v, out)
 			return
 		}
+	case reflect.Map:
+		if v, ok := value.(map[string]any); ok {
+			c.namedValues(path, v, out)
+			return
+		}
 	}
 	c.add(path, "is %s, must be %s", typeName(value), kindName(out.Kind()))
 }
@@ -258,6 +263,16 @@
 	}
 }
 
+// namedValues reads a table whose keys are names that the operators choose.
+func (c *checker) namedValues(path string, tree map[string]any, out reflect.Value) {
+	out.Set(reflect.MakeMapWithSize(out.Type(), len(tree)))
+	for name, v := range tree {
+		element := reflect.New(out.Type().Elem()).Elem()
+		c.value(join(path, name), v, element)
+		out.SetMapIndex(reflect.ValueOf(name), element)
+	}
+}
+
 func (c *checker) array(path string, list []any, out reflect.Value) {
 	out.Set(reflect.MakeSlice(out.Type(), len(list), len(list)))
 	for i, v := range list {
@@ -295,7 +310,7 @@
 		return "true or false"
 	case reflect.Float64:
 		return "a number"
-	case reflect.Struct:
+	case reflect.Struct, reflect.Map:
 		return "a table"
 	case reflect.Slice:
 		return "an array"
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -32,6 +33,7 @@
 	Timeout     time.Duration // within which the caller gets a response; zero for none
 	MaxAttempts int           // maximum number of targets that a request is sent to
 	Urgency     int           // a higher one is served first
+	Regions     []string      // in which requests may be served; empty for all
 }
 
 // Service is a group of targets.
@@ -40,6 +42,9 @@
 	Sharded        bool // each key is owned by one target
 	MaxConnections int  // maximum number of connections per target
 	WarmUp         time.Duration
+	ColdRate       float64       // requests a second that a cold target tolerates; 0 for no limit
+	ColdTime       time.Duration // for which a target is cold after its start
+	HealthPath     string        // of the health check of a target
 }
 
 // Limits bound what a caller may send.
@@ -67,6 +72,9 @@
 		if v.Name == "" {
 			return nil, fmt.Errorf("%w: service without a name", ErrInvalid)
 		}
+		if !(v.ColdRate >= 0) || math.IsInf(v.ColdRate, 0) || v.ColdTime < 0 {
+			return nil, fmt.Errorf("%w: service %q: %v requests a second or %v of a cold target are out of range", ErrInvalid, v.Name, v.ColdRate, v.ColdTime)
+		}
 		s.services[v.Name] = v
 		if v.Sharded {
 			s.sharded = append(s.sharded, v.Name)
