client, route, serve: an answer without a valid status is none

A target in trouble sent the status 000, and callers got it as an answer or lost their connection. http.ReadResponse accepts 000, signs and numbers from 600 on, drops a length beside chunks and joins equal lengths. The bytes of the head are now validated on the agent's client, the status on the node interface and where a node of an earlier version forwards. The caller gets an unknown outcome and the connection to the target is closed.

--- a/client/limit.go
+++ b/client/limit.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -34,6 +35,8 @@
 type limitedConn struct {
 	net.Conn
 	left int64
+	// recorded gets a copy of the bytes that are read while it is not nil.
+	recorded *bytes.Buffer
 }
 
 // Read implements io.Reader. It returns ErrTooLarge once the limit is reached.
@@ -43,15 +46,32 @@
 	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.left)])
 	c.left -= int64(n)
+	if c.recorded != nil {
+		c.recorded.Write(b[:n])
+	}
 	return n, err
 }
 
 // readHead reads the head of an answer of at most MaxHead bytes, beyond what has
-// been buffered before.
+// been buffered before. It returns ErrHead for one that http.ReadResponse accepts, but
+// that is none in the protocol or does not say clearly where its body ends.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.left = MaxHead
-	defer func() { c.limit.left = math.MaxInt64 }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	var raw bytes.Buffer
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	raw.Write(buffered)
+	c.limit.left, c.limit.recorded = MaxHead, &raw
+	defer func() { c.limit.left, c.limit.recorded = math.MaxInt64, nil }()
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(raw.Bytes(), resp.StatusCode); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // bodyBudget is the memory for the bodies that are being read, without the small
--- a/route/client.go
+++ b/route/client.go
@@ -162,10 +162,14 @@
 		}
 		return nil, nil, false, err
 	}
-	if conn != nil && isRefusal(resp) {
+	invalid := !hasValidStatus(resp)
+	if conn != nil && (invalid || isRefusal(resp)) {
 		conn.retire()
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if invalid {
+		return nil, nil, false, fmt.Errorf("%w: %q", errInvalidStatus, resp.Status)
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, nil, false, fmt.Errorf("read response: %w", err)
@@ -176,6 +180,11 @@
 	return resp, b, false, nil
 }
 
+// errInvalidStatus reports a response whose status is not one of a final response.
+var errInvalidStatus = errors.New("status of the response is not valid")
+
+func hasValidStatus(resp *http.Response) bool { return client.ValidStatus(resp.StatusCode) }
+
 // isRefusal reports whether a target refused a request that it did not run.
 func isRefusal(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusPreconditionFailed && resp.Header.Get(proto.HeaderOutcome) == string(proto.NotRun)
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/client"
 	"burdocklift/fleet"
 	"burdocklift/peer"
 	"burdocklift/proto"
@@ -118,6 +119,10 @@
 		}
 		reply.Reason = ReasonNoResponse
 	}
+	if outcomes[reply.Outcome] == proto.Answered && !client.ValidStatus(reply.Status) {
+		// Nodes of earlier versions pass on whatever status their target sends.
+		return Result{Outcome: proto.Unknown, Reason: ReasonNoResponse, Sends: max(reply.Sends, 1)}
+	}
 	res := Result{
 		Outcome: outcomes[reply.Outcome], Reason: reply.Reason,
 		Response:   Response{Status: reply.Status, Header: reply.Header, Body: reply.Body},
