place, serve, fleet: requests and keys stay in the regions of their route

The regions that a route names were decoded and not used, so that its requests were served, and their bodies sent, in any region. Package place answers whether a target may take a request or own keys. The node of the caller asks before it chooses or sends, the node of the target on arrival and right before the request goes to the target, by its own rules, and the planner for each owner. A service with keys gets owners only where all routes to it may run.

Failed before: serve.TestRefusedOutsideRegions, TestAttemptsStayInRegions, TestTargetsNodeChecksRegions, TestRegionsChangeDuringWait, fleet.TestOwnersInRegions, platform.TestRegionsOfRoutes. Nodes in the tests of serve and fleet now have a region by the first letter of their name in place of one for all, which those tests do not look at.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -89,7 +89,7 @@
 	a.fleet = fleet.New(fleet.Config{
 		Name: s.Name, Address: s.Addresses.Peer(), DataCentre: s.DataCentre, Region: s.Region,
 		Store: ledger, Health: ledger.Health(), Peers: peers, Clock: c, Log: log,
-		RulesKey: platform.RulesKey, Rules: platform.DecodeRules,
+		RulesKey: platform.RulesKey, Rules: platform.RulesDecoder(s.Regions),
 	})
 	ledger.SetRelays(a.fleet.PeerAddresses)
 	a.router = serve.New(serve.Config{
--- a/cmds/check.go
+++ b/cmds/check.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 
 	"burdocklift/conf"
+	"burdocklift/place"
+	"burdocklift/platform"
 )
 
 type checkCommand struct {
@@ -13,6 +16,8 @@
 	Settings  []string `help:"Settings of a node; may be repeated." placeholder:"FILE"`
 	Inventory string   `help:"Inventory." placeholder:"FILE"`
 	Rules     string   `help:"Rules." placeholder:"FILE"`
+	Agent     []string `help:"Settings of a node on the platform; may be repeated." placeholder:"FILE"`
+	Record    string   `help:"Operators' rules record of the platform, checked against the regions in the settings of --agent." placeholder:"FILE"`
 }
 
 // Help implements kong.HelpProvider.
@@ -32,6 +37,8 @@
 	result := struct {
 		Files    []file        `json:"files"`
 		Problems conf.Problems `json:"problems"`
+		// Warnings tell of rules that are valid and probably not meant.
+		Warnings []string `json:"warnings,omitempty"`
 	}{Problems: conf.Problems{}}
 	check := func(kind, name string, parse func(string, []byte) error) error {
 		b, err := readFile(name)
@@ -62,14 +69,42 @@
 			return err
 		}
 	}
+	dataCentres := make(map[string]string)
+	for _, name := range c.Agent {
+		if err := check("agent settings", name, func(n string, b []byte) error {
+			s, err := conf.ParseAgent(n, b)
+			maps.Copy(dataCentres, s.Regions)
+			return err
+		}); err != nil {
+			return err
+		}
+	}
+	if c.Record != "" {
+		if err := check("rules record", c.Record, func(n string, b []byte) error {
+			set, err := platform.RulesDecoder(dataCentres)(b)
+			if err != nil {
+				return conf.Problems{{File: n, Line: 1, Message: err.Error()}}
+			}
+			for _, service := range place.New(set).Conflicts() {
+				result.Warnings = append(result.Warnings, fmt.Sprintf("%s: service %q has keys, and its routes have no region in common: "+
+					"requests for keys whose owner is outside the regions of their route are refused", n, service))
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
 	if len(result.Files) == 0 {
-		return fmt.Errorf("%w: name at least one file with --settings, --inventory or --rules", ErrUsage)
+		return fmt.Errorf("%w: name at least one file with --settings, --inventory, --rules, --agent or --record", ErrUsage)
 	}
 	if err := c.print(e, result, func(w io.Writer) {
 		line(w, "KIND", "FILE", "RESULT")
 		for _, f := range result.Files {
 			line(w, f.Kind, f.Name, map[bool]string{true: "ok", false: "invalid"}[f.OK])
 		}
+		for _, text := range result.Warnings {
+			line(w, "warning", text)
+		}
 	}); err != nil {
 		return err
 	}
--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -161,6 +161,7 @@
 		return
 	}
 	f.rules = set
+	f.setPolicy()
 	event.ConfigurationAccepted.Log(ctx, f.cfg.Log, slog.Uint64("version", set.Version()), slog.Uint64("rev", it.Rev),
 		slog.String("source", string(from)))
 }
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -61,6 +61,10 @@
 	eventWatchFailed = event.Define(3017, "watch failed", slog.LevelInfo,
 		"The store did not answer a call for changes. The revision and the age are those of what the node knows.",
 		"Restore the store or the network path to it.")
+	eventNoCommonRegion = event.Define(3040, "no common region", slog.LevelWarn,
+		"The routes that lead to a service with keys name regions, but no region is named by all of them. Its keys may have any owner, and "+
+			"requests of a route are refused with the reason region when the owner of their key is outside its regions.",
+		"Name a common region in all routes that lead to the service.")
 	eventLoadCompared = event.Define(3015, "load compared", slog.LevelInfo,
 		"The planning node compared the targets of a service, and moved keys from busy to idle ones if moved is true. A ratio "+
 			"of 1 is the mean of load over capacity.",
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"burdocklift/clock"
 	"burdocklift/peer"
+	"burdocklift/place"
 	"burdocklift/rules"
 	"burdocklift/span"
 	"burdocklift/store"
@@ -82,7 +83,8 @@
 	synced         bool                  // all records were read at least once
 	restarted      bool                  // an earlier run of this node has written its record
 	rules          *rules.Set
-	knownRev       uint64 // revision up to which all records are known
+	policy         *place.Policy // of the rules
+	knownRev       uint64        // revision up to which all records are known
 	freshness      freshness
 	election       election
 	relayHeardAt   time.Duration // last contact with the relay
@@ -126,6 +128,7 @@
 		roleChanged: make(chan struct{}, 1), resigned: make(chan struct{}, 1),
 	}
 	f.mustReload.Store(true)
+	f.policy = place.New(nil)
 	// The target may hold keys that an earlier run of this node granted.
 	f.local.holdEndsBy = now + maxHold
 	f.local.earlierHoldEndsBy = f.local.holdEndsBy
@@ -251,7 +254,7 @@
 
 func (f *Fleet) publish() {
 	v := &View{
-		rules: f.rules, members: f.members, ranges: f.ranges, local: f.local,
+		rules: f.rules, policy: f.policy, members: f.members, ranges: f.ranges, local: f.local,
 		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
 	}
 	old := f.view.Load()
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklift/place"
 	"burdocklift/span"
 	"burdocklift/store"
 )
@@ -275,7 +276,8 @@
 		}
 		delete(p.lostLogged, v.Name)
 		owners = append(owners, span.Owner{
-			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean), Leaving: v.Target.Leaving, Stopping: v.Stopping,
+			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean), Stopping: v.Stopping,
+			Leaving: f.policy.CheckOwner(service, v.Place()) != place.Allowed,
 			Suspect: v.Name != f.cfg.Name && !p.isAlive(v.Name, now),
 		})
 	})
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/place"
 	"burdocklift/span"
 )
 
@@ -38,6 +39,11 @@
 	Revoked bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Place returns where the target beside a node runs.
+func (m Member) Place() place.Target {
+	return place.Target{DataCentre: m.DataCentre, Region: m.Region, Draining: m.Target != nil && m.Target.Leaving}
+}
+
 // Serves reports whether a node takes new work of a service to its target.
 func (m Member) Serves(service string) bool {
 	return !m.Stopping && !m.Revoked && m.Target.Serves(service)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"burdocklift/place"
 	"burdocklift/rules"
 	"burdocklift/span"
 )
@@ -10,6 +11,7 @@
 // View is an immutable snapshot of what a node knows about its site.
 type View struct {
 	rules     *rules.Set
+	policy    *place.Policy
 	members   map[string]Member
 	order     []string // names of members, sorted
 	ranges    map[string]span.Map
@@ -22,6 +24,9 @@
 // Rules returns the rules in force, or nil if none are known yet.
 func (v *View) Rules() *rules.Set { return v.rules }
 
+// Policy returns what restricts the placement of work.
+func (v *View) Policy() *place.Policy { return v.policy }
+
 // Member returns a node by name.
 func (v *View) Member(name string) (Member, bool) {
 	m, ok := v.members[name]
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,13 +71,23 @@
 	return w
 }
 
-// decodeRules returns rules whose version is the first byte.
+// decodeRules returns rules whose version is the first byte. The others are the regions of a
+// route, one letter each; zeros are left out, and a bar begins the next route.
 func decodeRules(b []byte) (*rules.Set, error) {
 	version := uint64(1)
 	if len(b) > 0 {
 		version = uint64(b[0])
 	}
-	return rules.New(version, rules.Limits{}, nil, []rules.Service{{Name: desk, Sharded: true}})
+	var routes []rules.Route
+	if len(b) > 1 && b[1] != 0 {
+		for i, regions := range strings.Split(string(b[1:]), "|") {
+			routes = append(routes, rules.Route{
+				Name: fmt.Sprint(i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Regions: strings.Split(regions, ""),
+				Services: []rules.WeightedService{{Service: desk, Weight: 1}},
+			})
+		}
+	}
+	return rules.New(version, rules.Limits{}, routes, []rules.Service{{Name: desk, Sharded: true}})
 }
 
 func (w *site) startNode(name string) { w.startNodeAt(name, name) }
@@ -87,7 +98,7 @@
 	peers.SetDialer(w.net.Dialer(address))
 	ledger := relay.New(w.ledger.Client(name), peers, w.clock)
 	f := fleet.New(fleet.Config{
-		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: "region", Store: ledger, Health: ledger.Health(), Peers: peers,
+		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: name[:1], Store: ledger, Health: ledger.Health(), Peers: peers,
 		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules,
 	})
 	ledger.SetRelays(f.PeerAddresses)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"strings"
@@ -139,6 +140,19 @@
 // ShardedServices returns the sorted names of the services whose keys are sharded.
 func (s *Set) ShardedServices() []string { return s.sharded }
 
+// Routes returns all routes, in no order.
+func (s *Set) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, prefixes := range s.routes {
+			for _, r := range prefixes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Match returns the route for a host name whose prefix is the longest match of the
 // path.
 func (s *Set) Match(host, path string) (*Route, bool) {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -10,6 +10,7 @@
 
 	"burdocklift/fleet"
 	"burdocklift/pick"
+	"burdocklift/place"
 	"burdocklift/proto"
 	"burdocklift/retry"
 	"burdocklift/rules"
@@ -66,7 +67,7 @@
 }
 
 func (r *Router) newJob(req *Request, route *rules.Route, set *rules.Set, begin time.Duration) *job {
-	j := &job{request: req, class: route.Name, urgency: route.Urgency, idempotent: route.Idempotent, deadline: begin + maxRequestTime}
+	j := &job{request: req, class: route.Name, urgency: route.Urgency, idempotent: route.Idempotent, regions: route.Regions, deadline: begin + maxRequestTime}
 	if route.Timeout > 0 {
 		j.deadline = min(j.deadline, begin+route.Timeout)
 	}
@@ -163,6 +164,9 @@
 		v := r.cfg.Fleet.View()
 		_, m, ok := v.Owner(j.service, j.request.Key)
 		if !ok {
+			if res = r.refuseUnplaced(v, j, r.cfg.Clock.Elapsed()); res.Reason != ReasonNoTarget {
+				return res
+			}
 			return notRun(ReasonNoOwner, notReadyRetryAfter)
 		}
 		res = r.sendTo(ctx, j, m)
@@ -184,8 +188,9 @@
 	v := r.cfg.Fleet.View()
 	picker := r.picker(j.service)
 	var candidates []pick.Candidate
+	work := r.work(v, j)
 	v.Members(func(m fleet.Member) {
-		if m.Serves(j.service) && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
+		if m.Serves(j.service) && v.Policy().Check(work, m.Place()) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
 			candidates = append(candidates, pick.Candidate{
 				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: m.Target.Slots,
 			})
@@ -196,6 +201,9 @@
 	if rest := slices.DeleteFunc(slices.Clone(candidates), tried); len(rest) > 0 {
 		candidates = rest
 	}
+	if len(candidates) == 0 {
+		return r.refuseUnplaced(v, j, r.cfg.Clock.Elapsed())
+	}
 	res := notRun(ReasonNoTarget, notReadyRetryAfter)
 	for number := range min(maxNodesTried, len(candidates)) {
 		options := candidates
@@ -211,7 +219,7 @@
 		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
 		picker.Done(c, pick.Result{
 			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
-			Abandoned: res.Reason == ReasonCallerGone,
+			Abandoned: res.Reason == ReasonCallerGone || refusedByPlace(res),
 		})
 		if res.Sends > 0 {
 			j.triedNodes = append(j.triedNodes, c.Name)
@@ -240,8 +248,11 @@
 }
 
 func (r *Router) sendTo(ctx context.Context, j *job, m fleet.Member) Result {
-	if m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), r.cfg.Clock.Elapsed()) {
-		return notRun(ReasonNoTarget, ownerRetryAfter)
+	v, now := r.cfg.Fleet.View(), r.cfg.Clock.Elapsed()
+	t := m.Place()
+	t.Draining = m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), now)
+	if res, refused := r.refusePlace(j, v.Policy().Check(r.work(v, j), t), now); refused {
+		return res
 	}
 	if m.Name == r.cfg.Name {
 		if j.keyed {
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -46,7 +46,7 @@
 	Key        int // -1 without a key
 	Origin     string
 	Service    string
-	Class      string
+	Class      string // name of the route; the target's node looks it up by host and path in its own rules
 	Urgency    int
 	Idempotent bool
 	Remaining  int64 // microseconds until the deadline
--- a/serve/local.go
+++ b/serve/local.go
@@ -37,6 +37,7 @@
 	urgency    int
 	keyed      bool
 	idempotent bool
+	regions    []string // of the route, empty for all
 	deadline   time.Duration
 	triedNodes []string           // nodes whose targets received the request
 	identity   poison.Fingerprint // zero until fingerprint is called
@@ -50,6 +51,9 @@
 
 // runLocal runs a request on the local target.
 func (r *Router) runLocal(ctx context.Context, j *job) Result {
+	if res, refused := r.refuseHere(r.cfg.Fleet.View(), j, r.cfg.Clock.Elapsed()); refused {
+		return res
+	}
 	t, refusal := r.awaitTarget(ctx, j)
 	if t == nil {
 		return refusal
@@ -66,6 +70,10 @@
 		return notRun(ReasonCallerGone, 0)
 	}
 	v := r.cfg.Fleet.View()
+	if res, refused := r.refuseHere(v, j, now); refused {
+		r.admission.Release(j.class, 0, false, now)
+		return res
+	}
 	if current := v.Target(); current == nil || current.Incarnation != t.Incarnation || r.drainOver(v, now) ||
 		j.keyed && !v.Holds(j.request.Key, now) {
 		r.admission.Release(j.class, 0, false, now)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -117,6 +117,7 @@
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "gone"     // the caller disconnected
 	ReasonStopping        Reason = "stopping" // the target's node stops
+	ReasonRegion          Reason = "region"   // no target in the regions of the route
 	// ReasonQuarantined means that the request has crashed targets, or may
 	// have.
 	ReasonQuarantined Reason = "quarantined"
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -71,7 +71,7 @@
 }
 
 // site has two nodes with one target each: "a1" of a service with keys, "b1" of
-// one without.
+// one without. Each is in a data centre and a region of its own.
 type site struct {
 	routers map[string]*serve.Router
 	targets map[string]*fakeTarget
@@ -133,17 +133,31 @@
 
 const stallTime = time.Second
 
+// regionRules returns rules of a version whose routes name regions, for example
+// "regions 2 r-a r-b".
+func regionRules(version int, regions ...string) []byte {
+	return fmt.Appendf(nil, "regions %d %s", version, strings.Join(regions, " "))
+}
+
 func decodeRules(b []byte) (*rules.Set, error) {
+	version, regions := uint64(1), []string(nil)
+	if fields := strings.Fields(string(b)); len(fields) > 1 && fields[0] == "regions" {
+		n, err := strconv.Atoi(fields[1])
+		if err != nil {
+			return nil, err
+		}
+		version, regions = uint64(n), fields[2:]
+	}
 	if bytes.Equal(b, stallingRules) {
 		time.Sleep(stallTime)
 	}
 	route := func(name, service string, idempotent bool) rules.Route {
 		return rules.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Services: []rules.WeightedService{{Service: service, Weight: 1}},
-			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Regions: regions,
 		}
 	}
-	return rules.New(1, rules.Limits{}, []rules.Route{
+	return rules.New(version, rules.Limits{}, []rules.Route{
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
 	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive"}})
 }
@@ -154,7 +168,7 @@
 	peers.SetDialer(s.net.Dialer(name))
 	log := slog.New(slog.DiscardHandler)
 	f := fleet.New(fleet.Config{
-		Name: name, Address: name, DataCentre: name, Region: "r", Store: ledger.Client(name), Peers: peers, Clock: c,
+		Name: name, Address: name, DataCentre: name, Region: "r-" + name[:1], Store: ledger.Client(name), Peers: peers, Clock: c,
 		Log: log, RulesKey: "rules", Rules: decodeRules,
 	})
 	target := &fakeTarget{reply: ok}
@@ -163,7 +177,7 @@
 	}
 	s.targets[name] = target
 	s.routers[name] = serve.New(serve.Config{
-		Name: name, DataCentre: name, Region: "r", Fleet: f, Peers: peers, Target: target, Clock: c,
+		Name: name, DataCentre: name, Region: "r-" + name[:1], Fleet: f, Peers: peers, Target: target, Clock: c,
 		Log: log, RetryRatio: 1, RetrySlack: 20, DrainPeriod: 2 * time.Second,
 	})
 	l := s.net.Listen(name)
