fleet, place, serve: an operator's record evacuates a data centre

Records under op/evacuate/ were left out by every node, so that targets of a data centre went on getting requests and keys. Work without keys goes elsewhere at once, the planner hands the owners' keys over while others can take them, and 2.5 s after a node learned of it, it sends nothing more there and its own target gets nothing more. A node that learns late, or starts during an evacuation, stops sooner. A listing of this system's own records no longer counts as one of all records. Nodes behind a relay of the previous version, which passes on no such records, watch the store themselves.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -85,7 +85,7 @@
 			if err != nil {
 				return conf.Problems{{File: n, Line: 1, Message: err.Error()}}
 			}
-			for _, service := range place.New(set).Conflicts() {
+			for _, service := range place.New(set, nil).Conflicts() {
 				result.Warnings = append(result.Warnings, fmt.Sprintf("%s: service %q has keys, and its routes have no region in common: "+
 					"requests for keys whose owner is outside the regions of their route are refused", n, service))
 			}
--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -78,15 +78,15 @@
 		slog.String("members", strings.Join(names[:min(len(names), maxLoggedMembers)], " ")), slog.Uint64("rev", f.knownRev))
 }
 
-// applyListing applies a complete listing of this system's records. Known records that are
-// missing from it were removed, unless they are newer than the listing.
-func (f *Fleet) applyListing(items []store.Item, rev uint64) {
+// applyListing applies a complete listing of the records with a prefix. Known records that
+// are missing from it were removed, unless they are newer than the listing.
+func (f *Fleet) applyListing(items []store.Item, prefix string, rev uint64) {
 	listed := make(map[string]bool, len(items))
 	for _, it := range items {
 		listed[it.Key] = true
 	}
 	for key, it := range f.items {
-		if key != f.cfg.RulesKey && !listed[key] && !it.Removed && it.Rev <= rev {
+		if key != f.cfg.RulesKey && strings.HasPrefix(key, prefix) && !listed[key] && !it.Removed && it.Rev <= rev {
 			items = append(items, store.Item{Key: key, Rev: rev + 1, Removed: true})
 		}
 	}
@@ -101,6 +101,9 @@
 		f.applyRules(it, from)
 		return false, nil
 	}
+	if f.isEvacuation(it.Key) {
+		return false, f.applyEvacuation(it, from)
+	}
 	if service, ok := strings.CutPrefix(it.Key, prefixRanges); ok {
 		if it.Removed {
 			delete(f.ranges, service)
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -35,6 +35,8 @@
 	Packed []packedItem `cbor:"4,keyasint,omitempty"`
 	// Origin tells where the records come from.
 	Origin origin `cbor:"5,keyasint,omitempty"`
+	// Version is the protocolVersion of the sender, 0 before version 2.
+	Version uint8 `cbor:"6,keyasint,omitempty"`
 }
 
 // origin tells how a node gets its records.
@@ -104,6 +106,10 @@
 		return r, err
 	}
 	return r, f.post(ctx, func(now time.Duration) {
+		if f.cfg.EvacuationPrefix != "" && r.Version < evacuationVersion {
+			f.applyChanges(r.Items, 0, fromCopy) // records of evacuations may be missing
+			return
+		}
 		f.applyChanges(r.Items, r.Rev, fromCopy)
 		f.confirmThrough(r.Rev, r.AgeMs, now)
 	})
@@ -132,7 +138,7 @@
 	if err := cbor.Unmarshal(body, &c); err != nil {
 		return nil, err
 	}
-	var r copyReply
+	r := copyReply{Version: protocolVersion}
 	var b batch
 	err := f.query(ctx, func(now time.Duration) {
 		r.Rev, r.AgeMs = f.knownRev, f.freshness.ageMs(now)
@@ -141,7 +147,7 @@
 			r.Origin = originStore
 		}
 		for _, it := range f.items {
-			if it.Rev > c.After {
+			if it.Rev > c.After && (c.Version >= evacuationVersion || !f.isEvacuation(it.Key)) {
 				f.addToBatch(&b, it, c.Version > 0)
 			}
 		}
--- a/fleet/elect.go
+++ b/fleet/elect.go
@@ -78,6 +78,7 @@
 		// An error means that the loop has ended.
 		_ = f.query(ctx, func(now time.Duration) {
 			f.setRelays(relay == f.cfg.Name, now)
+			f.setWatchesAlone(relay)
 			f.noteRelay(ctx, relay, now)
 		})
 	}
@@ -141,6 +142,15 @@
 	}
 }
 
+// setWatchesAlone makes this node watch the store itself while its relay passes on no
+// evacuations. All records are listed first, as the relay may have left one out.
+func (f *Fleet) setWatchesAlone(relay string) {
+	alone := f.cfg.EvacuationPrefix != "" && relay != f.cfg.Name && f.replyVersions[relay] < evacuationVersion
+	if !f.watchesAlone.Swap(alone) && alone {
+		f.mustReload.Store(true)
+	}
+}
+
 // resign hands the role of the relay to a node that the store answers, if this node is the
 // relay and there is one. The successor is told first, as the other nodes report to it at
 // once.
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -65,6 +65,17 @@
 		"The routes that lead to a service with keys name regions, but no region is named by all of them. Its keys may have any owner, and "+
 			"requests of a route are refused with the reason region when the owner of their key is outside its regions.",
 		"Name a common region in all routes that lead to the service.")
+	eventEvacuationBegan = event.Define(3041, "evacuation began", slog.LevelWarn,
+		"The node learned that an operator asks for the evacuation of a data centre. Work without keys goes elsewhere at once, keys move, "+
+			"and after closes_ms this node sends nothing more there, or to its own target if that is there.",
+		"None. The metrics tell how many targets there are still in use.")
+	eventEvacuationEnded = event.Define(3042, "evacuation ended", slog.LevelWarn,
+		"The node learned that the request to evacuate a data centre was withdrawn. Its targets get requests and keys again.",
+		"None.")
+	eventKeysNotEvacuated = event.Define(3043, "keys not evacuated", slog.LevelError,
+		"The planning node found no target outside the evacuated data centres that may own the keys of a service. They stay, and "+
+			"requests for them are refused with the reason evacuated.",
+		"Withdraw an evacuation, start targets elsewhere, or change the regions of the routes.")
 	eventLoadCompared = event.Define(3015, "load compared", slog.LevelInfo,
 		"The planning node compared the targets of a service, and moved keys from busy to idle ones if moved is true. A ratio "+
 			"of 1 is the mean of load over capacity.",
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,12 @@
 	// RulesKey is the store key of the operators' rules, which Rules decodes.
 	RulesKey string
 	Rules    func(b []byte) (*rules.Set, error)
+	// EvacuationPrefix is the prefix of the store keys by which operators ask for the evacuation
+	// of a data centre, whose name follows. Nothing is evacuated if it is empty.
+	EvacuationPrefix string
+	// EvacuationTime is the time from the store's acknowledgement of such a record until no
+	// request reaches targets of the data centre; zero for defaultEvacuationTime.
+	EvacuationTime time.Duration
 }
 
 // Fleet is a node's membership in its site. One goroutine owns its state and publishes
@@ -58,8 +64,11 @@
 
 	retryTimer clockwork.Timer // for a failed write; owned by the loop
 
-	storeLost        atomic.Bool   // state that was last logged
-	relays           atomic.Bool   // this node watches the store for its data centre
+	storeLost atomic.Bool // state that was last logged
+	relays    atomic.Bool // this node watches the store for its data centre
+	// watchesAlone is true if the relay is of a version that passes on no evacuations, so that
+	// this node watches the store itself.
+	watchesAlone     atomic.Bool
 	roleChanged      chan struct{} // this node has become the relay
 	resigned         chan struct{} // another relay has resigned
 	mustReload       atomic.Bool   // all records have to be read from the store
@@ -83,7 +92,8 @@
 	synced         bool                  // all records were read at least once
 	restarted      bool                  // an earlier run of this node has written its record
 	rules          *rules.Set
-	policy         *place.Policy // of the rules
+	policy         *place.Policy // of the rules and evacuations
+	evacuationEnd  time.Duration // when an evacuation of this data centre last ended
 	knownRev       uint64        // revision up to which all records are known
 	freshness      freshness
 	election       election
@@ -91,15 +101,17 @@
 	changesPending bool          // other nodes may lack records
 	relayDueAt     time.Duration // when collected changes are passed on next
 	// peerRevs is the revision up to which each other node knows all records.
-	peerRevs     map[string]uint64
-	packed       map[string]packedItem // compressed records that were passed on, by key
-	versions     map[string]uint8      // protocolVersion of other nodes, by name
-	relaying     map[string]bool       // nodes to which a call with changes is in flight
-	rangeChanges map[string]*rangeChange
-	members      map[string]Member
-	ranges       map[string]span.Map
-	local        localTarget
-	stopping     bool
+	peerRevs map[string]uint64
+	packed   map[string]packedItem // compressed records that were passed on, by key
+	versions map[string]uint8      // protocolVersion of other nodes, by name
+	// replyVersions is versions as replies to reports of this node tell it.
+	replyVersions map[string]uint8
+	relaying      map[string]bool // nodes to which a call with changes is in flight
+	rangeChanges  map[string]*rangeChange
+	members       map[string]Member
+	ranges        map[string]span.Map
+	local         localTarget
+	stopping      bool
 	// departures are the targets that announced that they leave, by ID. They are kept
 	// apart from local, as a restarted node may learn of a departure before any heartbeat.
 	departures map[string]departure
@@ -128,7 +140,7 @@
 		roleChanged: make(chan struct{}, 1), resigned: make(chan struct{}, 1),
 	}
 	f.mustReload.Store(true)
-	f.policy = place.New(nil)
+	f.policy = place.New(nil, nil)
 	// The target may hold keys that an earlier run of this node granted.
 	f.local.holdEndsBy = now + maxHold
 	f.local.earlierHoldEndsBy = f.local.holdEndsBy
@@ -138,6 +150,7 @@
 	f.packed = make(map[string]packedItem)
 	f.election.candidates = make(map[string]time.Duration)
 	f.versions = make(map[string]uint8)
+	f.replyVersions = make(map[string]uint8)
 	f.planner.init(now)
 	f.publish()
 	cfg.Peers.Handle(MethodReport, f.handleReport)
@@ -254,7 +267,7 @@
 
 func (f *Fleet) publish() {
 	v := &View{
-		rules: f.rules, policy: f.policy, members: f.members, ranges: f.ranges, local: f.local,
+		rules: f.rules, policy: f.policy, evacuationEnd: f.evacuationEnd, members: f.members, ranges: f.ranges, local: f.local,
 		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
 	}
 	old := f.view.Load()
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -83,7 +83,9 @@
 }
 
 // watches reports whether this node watches the store all the time.
-func (f *Fleet) watches() bool { return f.planner.leads.Load() || f.relays.Load() }
+func (f *Fleet) watches() bool {
+	return f.planner.leads.Load() || f.relays.Load() || f.watchesAlone.Load()
+}
 
 // awaitRole sleeps until this node becomes the relay.
 func (f *Fleet) awaitRole(ctx context.Context, d time.Duration) {
@@ -134,7 +136,7 @@
 	}
 	f.mustReload.Store(false)
 	return f.post(ctx, func(time.Duration) {
-		f.applyListing(f.ownRecords(items), rev)
+		f.applyListing(f.ownRecords(items), "", rev)
 		f.knownRev = max(f.knownRev, rev)
 		f.freshness.confirm(sent)
 		f.changesPending = true
@@ -200,11 +202,12 @@
 	f.changesPending = true
 }
 
-// ownRecords returns the records of this system and leaves out those of other programs.
+// ownRecords returns the records of this system and those of the operators that concern it,
+// and leaves out those of other programs.
 func (f *Fleet) ownRecords(items []store.Item) []store.Item {
 	var out []store.Item
 	for _, it := range items {
-		if it.Key == f.cfg.RulesKey || strings.HasPrefix(it.Key, prefixOwn) {
+		if it.Key == f.cfg.RulesKey || f.isEvacuation(it.Key) || strings.HasPrefix(it.Key, prefixOwn) {
 			out = append(out, it)
 		}
 	}
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -67,7 +67,7 @@
 	var b batch
 	n := changeSet{After: after, Rev: f.knownRev, AgeMs: f.freshness.ageMs(now)}
 	for key, it := range f.items {
-		if it.Rev <= after {
+		if it.Rev <= after || f.isEvacuation(key) && f.versions[node] < evacuationVersion {
 			continue
 		}
 		if service, ok := strings.CutPrefix(key, prefixRanges); ok && !it.Removed {
@@ -142,7 +142,8 @@
 	var reply reportReply
 	err = f.post(ctx, func(now time.Duration) {
 		f.applyRecords(items, fromRelay)
-		if n.After <= f.knownRev {
+		// The changes of a relay that passes on no evacuations are not complete.
+		if n.After <= f.knownRev && !f.watchesAlone.Load() {
 			f.knownRev = max(f.knownRev, n.Rev)
 		}
 		f.confirmThrough(n.Rev, n.AgeMs, now)
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -33,6 +33,7 @@
 	runsSeen   map[string]firstSighting
 	firstSeen  map[string]time.Duration // by service, when a target was first seen
 	lostLogged map[string]bool
+	keptLogged map[string]bool // services whose keys stay in evacuated data centres
 
 	balanceAt    time.Duration // time at which the load is balanced next
 	serviceRates map[string]serviceRate
@@ -114,6 +115,7 @@
 	p.runsSeen = make(map[string]firstSighting)
 	p.firstSeen = make(map[string]time.Duration)
 	p.lostLogged = make(map[string]bool)
+	p.keptLogged = make(map[string]bool)
 	p.serviceRates = make(map[string]serviceRate)
 	p.wasStopping = make(map[string]bool)
 }
@@ -281,6 +283,7 @@
 			Suspect: v.Name != f.cfg.Name && !p.isAlive(v.Name, now),
 		})
 	})
+	f.leaveEvacuated(service, owners)
 	isStopping := func(o span.Owner) bool { return o.Stopping }
 	if slices.ContainsFunc(owners, isStopping) && span.HasHeadroom(owners, p.load.Total(now)) {
 		for i := range owners {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -12,8 +12,12 @@
 )
 
 // protocolVersion is the version of the calls between nodes of this package: 1 has
-// MethodResign, compressed records and ages, which nodes of version 0 do not know.
-const protocolVersion = 1
+// MethodResign, compressed records and ages, which nodes of version 0 do not know. Nodes of
+// version 1 don't read and pass on records of evacuations.
+const protocolVersion = 2
+
+// evacuationVersion is the first version whose nodes pass on records of evacuations.
+const evacuationVersion = 2
 
 // MethodReport is the call by which a node tells the planning node and its relay that it
 // is alive, and the load of its keys.
@@ -58,6 +62,8 @@
 	Relays bool   `cbor:"4,keyasint,omitempty"`
 	Rev    uint64 `cbor:"3,keyasint,omitempty"` // up to which the node knows all records
 	AgeMs  int64  `cbor:"6,keyasint,omitempty"` // since the store last confirmed that there is no newer record
+	// Version is the protocolVersion of the answering node, 0 before version 2.
+	Version uint8 `cbor:"7,keyasint,omitempty"`
 }
 
 // sendReports reports to the planning node once in an interval. The planning node is the
@@ -130,6 +136,7 @@
 		if reply.Leads || reply.Relays {
 			f.relayHeardAt = now
 		}
+		f.replyVersions[m.Name] = reply.Version
 		f.confirmThrough(reply.Rev, reply.AgeMs, now)
 	})
 	return reply, nil
@@ -161,7 +168,7 @@
 	if err := cbor.Unmarshal(body, &r); err != nil {
 		return nil, err
 	}
-	reply := reportReply{Name: f.cfg.Name, Leads: f.canLead()}
+	reply := reportReply{Name: f.cfg.Name, Leads: f.canLead(), Version: protocolVersion}
 	err := f.query(ctx, func(now time.Duration) {
 		f.planner.receiveReport(r, now)
 		f.peerRevs[r.Name] = r.Rev
--- a/fleet/right.go
+++ b/fleet/right.go
@@ -101,7 +101,7 @@
 		return 0, err
 	}
 	err = f.post(ctx, func(time.Duration) {
-		f.applyListing(items, rev)
+		f.applyListing(items, prefixOwn, rev)
 		f.grantRight.validUntil = max(f.grantRight.validUntil, sent+rightTTL)
 	})
 	return lease, err
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -10,15 +10,16 @@
 
 // View is an immutable snapshot of what a node knows about its site.
 type View struct {
-	rules     *rules.Set
-	policy    *place.Policy
-	members   map[string]Member
-	order     []string // names of members, sorted
-	ranges    map[string]span.Map
-	local     localTarget
-	rightEnds map[string]time.Duration
-	restarted bool
-	changed   chan struct{}
+	rules         *rules.Set
+	policy        *place.Policy
+	evacuationEnd time.Duration
+	members       map[string]Member
+	order         []string // names of members, sorted
+	ranges        map[string]span.Map
+	local         localTarget
+	rightEnds     map[string]time.Duration
+	restarted     bool
+	changed       chan struct{}
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
@@ -27,6 +28,10 @@
 // Policy returns what restricts the placement of work.
 func (v *View) Policy() *place.Policy { return v.policy }
 
+// EvacuationEnd returns when this node learned that an evacuation of its own data centre has
+// ended, or zero if none has.
+func (v *View) EvacuationEnd() time.Duration { return v.evacuationEnd }
+
 // Member returns a node by name.
 func (v *View) Member(name string) (Member, bool) {
 	m, ok := v.members[name]
@@ -53,6 +58,17 @@
 	return r, m, ok
 }
 
+// KeyOwners returns the nodes whose targets own keys.
+func (v *View) KeyOwners() map[string]bool {
+	owners := make(map[string]bool)
+	for _, m := range v.ranges {
+		for _, r := range m.Ranges {
+			owners[r.Node] = true
+		}
+	}
+	return owners
+}
+
 // PriorRightsEnd returns the latest end of the revoked rights of a range's earlier owners,
 // after which the owner may hold the range. It reports false while an end is not known.
 func (v *View) PriorRightsEnd(r span.Range) (time.Duration, bool) {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -23,6 +23,7 @@
 const (
 	desk              = "desk"
 	heartbeatInterval = 870 * time.Millisecond
+	evacuate          = "evacuate/"
 	clockDriftFactor  = 1.02 // the clock of a target may run 2% slow
 )
 
@@ -99,7 +100,7 @@
 	ledger := relay.New(w.ledger.Client(name), peers, w.clock)
 	f := fleet.New(fleet.Config{
 		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: name[:1], Store: ledger, Health: ledger.Health(), Peers: peers,
-		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules,
+		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules, EvacuationPrefix: evacuate,
 	})
 	ledger.SetRelays(f.PeerAddresses)
 	f.SetCrashLog(w.crashLog)
--- a/place/place.go
+++ b/place/place.go
@@ -1,10 +1,12 @@
 // Package place decides whether a target may take work: by the regions of the
-// request's route, and by whether the target leaves. It has no I/O.
+// request's route, evacuations of data centres, and whether the target leaves. It has no
+// I/O.
 package place
 
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"burdocklift/rules"
 )
@@ -14,9 +16,10 @@
 
 // Denials, in the order in which they are found.
 const (
-	Allowed  Denial = iota
-	Region          // the target is outside the regions of the route
-	Draining        // the target leaves
+	Allowed   Denial = iota
+	Region           // the target is outside the regions of the route
+	Evacuated        // the target's data centre is evacuated
+	Draining         // the target leaves
 )
 
 // Target is where a target runs, and whether it gets no more work as it leaves.
@@ -28,6 +31,16 @@
 // Work is what a target is wanted for.
 type Work struct {
 	Regions []string // of its route; empty for all
+	// Bound work has a key, or is at the node of this target already. Other work goes to
+	// another target as soon as an evacuation is known.
+	Bound bool
+}
+
+// Evacuation is an operator's request to send nothing more to the targets of a data
+// centre.
+type Evacuation struct {
+	Since    time.Time     // when this node learned of it
+	ClosesAt time.Duration // on the node's clock, when the targets get nothing more
 }
 
 // Policy holds what restricts the placement of work. It is immutable. The zero value
@@ -35,11 +48,13 @@
 type Policy struct {
 	ownerRegions map[string][]string // by service with keys; services without restriction are missing
 	conflicts    []string
+	evacuations  map[string]Evacuation // by data centre
 }
 
-// New returns the policy of a version of the rules, which may be nil.
-func New(set *rules.Set) *Policy {
-	p := &Policy{}
+// New returns the policy of a version of the rules, which may be nil, and of the evacuations
+// by data centre.
+func New(set *rules.Set, evacuations map[string]Evacuation) *Policy {
+	p := &Policy{evacuations: maps.Clone(evacuations)}
 	if set == nil {
 		return p
 	}
@@ -71,23 +86,41 @@
 	p.ownerRegions[service] = slices.DeleteFunc(common, func(region string) bool { return !slices.Contains(regions, region) })
 }
 
-// Check returns why a target may not take work now.
-func (p *Policy) Check(w Work, t Target) Denial {
-	switch {
-	case !contains(w.Regions, t.Region):
+// WithEvacuations returns a policy for the same rules.
+func (p *Policy) WithEvacuations(evacuations map[string]Evacuation) *Policy {
+	return &Policy{ownerRegions: p.ownerRegions, conflicts: p.conflicts, evacuations: maps.Clone(evacuations)}
+}
+
+// Check returns why a target may not take work at a time.
+func (p *Policy) Check(w Work, t Target, now time.Duration) Denial {
+	if !contains(w.Regions, t.Region) {
 		return Region
-	case t.Draining:
+	}
+	if e, ok := p.evacuations[t.DataCentre]; ok && (!w.Bound || now >= e.ClosesAt) {
+		return Evacuated
+	}
+	if t.Draining {
 		return Draining
 	}
 	return Allowed
 }
 
 // CheckOwner returns why a target may not own keys of a service. A service whose routes
-// have no region in common may have owners anywhere.
+// have no region in common may have owners anywhere. Evacuations are not regarded: whether an
+// owner can leave depends on the others.
 func (p *Policy) CheckOwner(service string, t Target) Denial {
-	return p.Check(Work{Regions: p.ownerRegions[service]}, t)
+	switch {
+	case !contains(p.ownerRegions[service], t.Region):
+		return Region
+	case t.Draining:
+		return Draining
+	}
+	return Allowed
 }
 
+// Evacuations returns the evacuations by data centre, which must not be changed.
+func (p *Policy) Evacuations() map[string]Evacuation { return p.evacuations }
+
 // Conflicts returns the sorted services with keys whose routes have no region in common.
 func (p *Policy) Conflicts() []string { return p.conflicts }
 
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return New(set)
+	return New(set, nil)
 }
 
 func to(service string, weight int) []rules.WeightedService {
@@ -40,7 +40,7 @@
 		{"leaving in another region", []string{"south"}, Target{"n1", "north", true}, Region},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := (&Policy{}).Check(Work{Regions: c.regions}, c.target); got != c.want {
+			if got := (&Policy{}).Check(Work{Regions: c.regions}, c.target, 0); got != c.want {
 				t.Errorf("denial is %d, want %d", got, c.want)
 			}
 		})
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -188,9 +188,9 @@
 	v := r.cfg.Fleet.View()
 	picker := r.picker(j.service)
 	var candidates []pick.Candidate
-	work := r.work(v, j)
+	work, now := r.work(v, j), r.cfg.Clock.Elapsed()
 	v.Members(func(m fleet.Member) {
-		if m.Serves(j.service) && v.Policy().Check(work, m.Place()) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
+		if m.Serves(j.service) && v.Policy().Check(work, m.Place(), now) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
 			candidates = append(candidates, pick.Candidate{
 				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: m.Target.Slots,
 			})
@@ -202,7 +202,7 @@
 		candidates = rest
 	}
 	if len(candidates) == 0 {
-		return r.refuseUnplaced(v, j, r.cfg.Clock.Elapsed())
+		return r.refuseUnplaced(v, j, now)
 	}
 	res := notRun(ReasonNoTarget, notReadyRetryAfter)
 	for number := range min(maxNodesTried, len(candidates)) {
@@ -251,7 +251,9 @@
 	v, now := r.cfg.Fleet.View(), r.cfg.Clock.Elapsed()
 	t := m.Place()
 	t.Draining = m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), now)
-	if res, refused := r.refusePlace(j, v.Policy().Check(r.work(v, j), t), now); refused {
+	w := r.work(v, j)
+	w.Bound = j.keyed
+	if res, refused := r.refusePlace(j, v.Policy().Check(w, t, now), now); refused {
 		return res
 	}
 	if m.Name == r.cfg.Name {
--- a/serve/place_test.go
+++ b/serve/place_test.go
@@ -76,7 +76,7 @@
 }
 
 // Guards against requests without keys that are refused because the targets which are tried
-// are all outside the regions of the route.
+// are all outside the regions of the route, or in evacuated data centres.
 func TestChoiceIsAmongAllowed(t *testing.T) {
 	runInSite(t, func(t *testing.T, s *site) {
 		for i := range 8 {
@@ -89,6 +89,15 @@
 			assertResult(t, res, proto.Answered, serve.ReasonAnswered)
 		}
 		assertRuns(t, s, "c1", 20)
+		s.setRegions(3)
+		for i := range 9 {
+			s.evacuate(fmt.Sprint("b", i+1))
+		}
+		for i := range 20 {
+			res := s.routers["b1"].Serve(context.Background(), newRequest(fmt.Sprint("evacuated", i), "fetch"))
+			assertResult(t, res, proto.Answered, serve.ReasonAnswered)
+		}
+		assertRuns(t, s, "c1", 40)
 	})
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -115,9 +115,10 @@
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
 	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
 	ReasonTimeout         Reason = "timeout"
-	ReasonCallerGone      Reason = "gone"     // the caller disconnected
-	ReasonStopping        Reason = "stopping" // the target's node stops
-	ReasonRegion          Reason = "region"   // no target in the regions of the route
+	ReasonCallerGone      Reason = "gone"      // the caller disconnected
+	ReasonStopping        Reason = "stopping"  // the target's node stops
+	ReasonRegion          Reason = "region"    // no target in the regions of the route
+	ReasonEvacuated       Reason = "evacuated" // only targets of evacuated data centres may run the request
 	// ReasonQuarantined means that the request has crashed targets, or may
 	// have.
 	ReasonQuarantined Reason = "quarantined"
@@ -183,6 +184,7 @@
 	pickers     map[string]*pick.Picker  // by service
 	retries     map[string]retryPolicies // by service
 	incarnation span.Incarnation         // of the target, for which admission control was last reset
+	evacuated   []string                 // data centres with metrics of an evacuation
 }
 
 // New returns a Router and registers its handlers.
@@ -213,6 +215,7 @@
 	}
 	r.stats.SetGauge("overload_lasts", overload)
 	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
+	r.setEvacuationGauges()
 	return &r.stats
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -169,7 +169,7 @@
 	log := slog.New(slog.DiscardHandler)
 	f := fleet.New(fleet.Config{
 		Name: name, Address: name, DataCentre: name, Region: "r-" + name[:1], Store: ledger.Client(name), Peers: peers, Clock: c,
-		Log: log, RulesKey: "rules", Rules: decodeRules,
+		Log: log, RulesKey: "rules", Rules: decodeRules, EvacuationPrefix: "evacuate/",
 	})
 	target := &fakeTarget{reply: ok}
 	if s.prepare != nil {
--- a/span/balance.go
+++ b/span/balance.go
@@ -44,7 +44,7 @@
 func Balance(m *Map, all []Owner, w CumulativeLoad) bool {
 	owners := nonLeaving(all)
 	total := w.Between(0, MaxKey)
-	if total < minTotalLoad+baselineLoad || len(owners) < 2 || !slices.ContainsFunc(owners, canReceive) {
+	if total < minTotalLoad+baselineLoad || len(owners) < 2 || !slices.ContainsFunc(owners, Owner.CanReceive) {
 		return false
 	}
 	b := newBalancer(m, owners, w)
@@ -199,9 +199,9 @@
 // leastUtilized returns the least utilized owner that may be given keys. The
 // caller makes sure that there is one.
 func (b *balancer) leastUtilized() int {
-	least := slices.IndexFunc(b.owners, canReceive)
+	least := slices.IndexFunc(b.owners, Owner.CanReceive)
 	for i, o := range b.owners {
-		if canReceive(o) && b.utilization(i) < b.utilization(least) {
+		if o.CanReceive() && b.utilization(i) < b.utilization(least) {
 			least = i
 		}
 	}
--- a/span/join.go
+++ b/span/join.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	changed := m.joinNeighbours(exceeding)
-	receivers := indexOwners(slices.DeleteFunc(slices.Clone(all), func(o Owner) bool { return !canReceive(o) }))
+	receivers := indexOwners(slices.DeleteFunc(slices.Clone(all), func(o Owner) bool { return !o.CanReceive() }))
 	for owner := range exceeding {
 		changed = m.moveLeastLoaded(owner, limit, receivers, w) || changed
 	}
--- a/span/plan.go
+++ b/span/plan.go
@@ -25,8 +25,8 @@
 	return slices.DeleteFunc(slices.Clone(owners), func(o Owner) bool { return o.Leaving })
 }
 
-// canReceive reports whether an owner may be given keys.
-func canReceive(o Owner) bool { return !o.Leaving && !o.Suspect }
+// CanReceive reports whether an owner may be given keys.
+func (o Owner) CanReceive() bool { return !o.Leaving && !o.Suspect }
 
 const (
 	// loadHalfLife is the half-life of request counts.
@@ -114,7 +114,7 @@
 // the others, by load and capacity. It reports whether the map changed.
 func Plan(m *Map, all []Owner, load func() CumulativeLoad) bool {
 	owners := nonLeaving(all)
-	if !slices.ContainsFunc(owners, canReceive) {
+	if !slices.ContainsFunc(owners, Owner.CanReceive) {
 		return false
 	}
 	if len(m.Ranges) == 0 {
