nested, triage, serve: calls for running work go ahead of equally urgent new requests

A call that a target makes for a request that it runs counted as a new request. It has the least time, so that it was refused first under overload, and the request failed after most of its work was done. Calls are now recognized by where they come from, go ahead of new requests of their priority, and are not refused for lasting overload while they can end in time.

--- a/serve/local.go
+++ b/serve/local.go
@@ -130,6 +130,7 @@
 	transfer, backlog := r.expectedTransfer(j)
 	w, err := r.admission.Acquire(triage.Request{
 		Class: j.class, Urgency: j.urgency, Deadline: j.deadline, Transfer: transfer, Backlog: backlog,
+		Nested: r.nested.Observe(j.class, j.request.Origin, r.cfg.Clock.Elapsed()),
 	}, r.cfg.Clock.Elapsed())
 	if w != nil {
 		err = r.awaitStart(ctx, j, w)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"burdocklift/clock"
 	"burdocklift/fleet"
+	"burdocklift/nested"
 	"burdocklift/peer"
 	"burdocklift/pick"
 	"burdocklift/poison"
@@ -165,6 +166,7 @@
 	limit     targetLimit
 	leaving   departures
 	sizes     answerSizes
+	nested    nested.Detector
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
--- a/triage/replay_test.go
+++ b/triage/replay_test.go
@@ -99,7 +99,7 @@
 }
 
 func (c *caller) request() Request {
-	return Request{Class: c.name, Urgency: c.urgency, Deadline: c.deadline}
+	return Request{Class: c.name, Urgency: c.urgency, Deadline: c.deadline, Nested: c.name == nestedClass}
 }
 
 // replay simulates the slots of one target and callers that retry after the
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -38,6 +38,9 @@
 	Class    string
 	Urgency  int           // higher goes first
 	Deadline time.Duration // moment at which the caller gives up
+	// Nested is set for a call that a target makes for a request that it runs. It goes ahead of
+	// equally urgent new requests: to refuse it wastes the work that was done already.
+	Nested bool
 	// Transfer is the expected time to send the answer, if it is large, and Backlog the
 	// time for which the link is busy with those of earlier requests.
 	Transfer, Backlog time.Duration
@@ -129,7 +132,7 @@
 		l.queueTooLong(r.Urgency, now)
 		return nil, l.refusal(r, wait, now)
 	}
-	if wait > t.mean && l.overloadLasts(r.Urgency) {
+	if wait > t.mean && l.overloadLasts(r.Urgency) && !r.Nested {
 		return nil, l.refusal(r, wait, now)
 	}
 	w := &Waiter{request: r, done: make(chan error, 1)}
@@ -249,7 +252,7 @@
 // can't end before their deadline any more, as later arrivals may have gone ahead of
 // them.
 func (l *Limiter) dispatch(now time.Duration) {
-	slices.SortStableFunc(l.queue, byUrgency)
+	slices.SortStableFunc(l.queue, func(a, b *Waiter) int { return byRank(a.request, b.request) })
 	free, ahead, aheadCount := l.limit-l.running, time.Duration(0), 0
 	l.queue = slices.DeleteFunc(l.queue, func(w *Waiter) bool {
 		r := w.request
@@ -272,9 +275,18 @@
 	})
 }
 
-// byUrgency orders the queue. Equally urgent requests keep their order of arrival, so that
-// those that were let in are not passed over by callers who come with less time.
-func byUrgency(a, b *Waiter) int { return cmp.Compare(b.request.Urgency, a.request.Urgency) }
+// byRank orders the queue: by urgency, then nested calls first. Requests of equal rank keep
+// their order of arrival, so that those that were let in are not passed over by callers who
+// come with less time.
+func byRank(a, b Request) int {
+	if c := cmp.Compare(b.Urgency, a.Urgency); c != 0 || a.Nested == b.Nested {
+		return c
+	}
+	if a.Nested {
+		return -1
+	}
+	return 1
+}
 
 // estimateQueueWait estimates how long a new request waits for a slot, from the
 // work queued ahead of it.
@@ -288,7 +300,7 @@
 func (l *Limiter) workThrough(r Request) (work time.Duration, ahead int) {
 	work = l.times[r.Class].mean
 	for _, w := range l.queue {
-		if w.request.Urgency >= r.Urgency {
+		if byRank(w.request, r) <= 0 {
 			work += l.times[w.request.Class].mean
 			ahead++
 		}
