triage: starts at a cold target are limited in any second

A target that tolerates few requests a second after its start got as many as its slots allowed. The limiter now asks for a limit of cold targets and keeps to it with a sliding window, which also counts what it sent before the target became cold, and with an even pace. Estimated waits and refusals follow the limit.

--- a/triage/rate.go
+++ b/triage/rate.go
@@ -97,15 +97,15 @@
 	if len(l.queue) == 0 {
 		return 0
 	}
-	return l.starts.wait(0, now)
+	return l.startWait(0, now)
 }
 
 // returnTime returns the time after which the caller of a request that the rate refuses finds
 // a token if those that were refused before it return as they were told. Callers that will
 // have given up by then do not count.
 func (l *Limiter) returnTime(r Request, now time.Duration) time.Duration {
-	earliest := now + l.starts.wait(float64(len(l.queue)), now)
-	at := max(l.returns+time.Duration(float64(time.Second)/l.starts.rate), earliest)
+	earliest := now + l.startWait(len(l.queue), now)
+	at := max(l.returns+time.Duration(float64(time.Second)/l.startRate()), earliest)
 	if at < r.Deadline {
 		l.returns = at
 	}
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -73,6 +73,7 @@
 	startLoad    load                   // in starts
 	linkLoad     load                   // in seconds of the link
 	starts       bucket
+	cold         coldWindow
 	slotReturns  map[int]time.Duration // by urgency, when the last refused caller was told to return
 	returns      time.Duration         // when the last caller that the rate refused was told to return
 }
@@ -100,6 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.raiseLimit(now)
+	l.refreshCold(now)
 	t := l.times[r.Class]
 	left := r.Deadline - now
 	free := l.running < l.limit && len(l.queue) == 0
@@ -118,10 +120,10 @@
 	}
 	l.slotLoad.add(r.Urgency, t.mean.Seconds(), left, now)
 	l.startLoad.add(r.Urgency, 1, left, now)
-	if free && l.starts.take(now) {
+	if free && l.takeStart(now) {
 		l.running++
 		l.slotLoad.idle(float64(l.limit), now)
-		l.startLoad.idle(l.starts.rate, now)
+		l.startLoad.idle(l.startRate(), now)
 		return nil, nil
 	}
 	wait := l.estimateQueueWait(r, now)
@@ -141,8 +143,8 @@
 // queueTooLong records that a request was refused because of those ahead of it.
 func (l *Limiter) queueTooLong(urgency int, now time.Duration) {
 	l.slotLoad.queueTooLong(urgency, float64(l.limit), now)
-	if l.starts.rate > 0 {
-		l.startLoad.queueTooLong(urgency, l.starts.rate, now)
+	if rate := l.startRate(); rate > 0 {
+		l.startLoad.queueTooLong(urgency, rate, now)
 	}
 }
 
@@ -150,7 +152,7 @@
 // That keeps all slots busy; a longer queue would serve no more callers, and each of them
 // later.
 func (l *Limiter) overloadLasts(urgency int) bool {
-	return l.slotLoad.lasts(urgency) || l.starts.rate > 0 && l.startLoad.lasts(urgency)
+	return l.slotLoad.lasts(urgency) || l.startRate() > 0 && l.startLoad.lasts(urgency)
 }
 
 // SetEnd sets the moment at which all requests in flight end, also those that wait now.
@@ -249,12 +251,13 @@
 // can't end before their deadline any more, as later arrivals may have gone ahead of
 // them.
 func (l *Limiter) dispatch(now time.Duration) {
+	l.refreshCold(now)
 	slices.SortStableFunc(l.queue, byUrgency)
 	free, ahead, aheadCount := l.limit-l.running, time.Duration(0), 0
 	l.queue = slices.DeleteFunc(l.queue, func(w *Waiter) bool {
 		r := w.request
 		t := l.times[r.Class]
-		if free > 0 && now+t.bound() <= r.Deadline && l.starts.take(now) {
+		if free > 0 && now+t.bound() <= r.Deadline && l.takeStart(now) {
 			free--
 			l.running++
 			w.done <- nil
@@ -302,8 +305,9 @@
 func (l *Limiter) RetryAfter(r Request, now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refreshCold(now)
 	work, ahead := l.workThrough(r)
-	wait := max(work/time.Duration(max(l.limit, 1)), l.starts.wait(float64(ahead), now))
+	wait := max(work/time.Duration(max(l.limit, 1)), l.startWait(ahead, now))
 	if l.overloadLasts(r.Urgency) {
 		wait = max(wait, (r.Deadline-now)/returnDivisor)
 	}
@@ -314,17 +318,21 @@
 // its own and that of a number of requests ahead of it: the slots run all of it by the
 // time at which a request behind would start.
 func (l *Limiter) estimateWait(work time.Duration, ahead int, now time.Duration) time.Duration {
+	inSlots := work / time.Duration(max(l.limit, 1))
 	slot := time.Duration(0)
-	if l.running >= l.limit || l.starts.rate == 0 {
-		slot = work / time.Duration(max(l.limit, 1))
+	if l.running >= l.limit || l.startRate() == 0 {
+		slot = inSlots
 	}
-	return max(slot, l.starts.wait(float64(ahead), now))
+	if wait, ends := l.cold.wait(ahead, now); ends {
+		slot = max(slot, wait+inSlots) // all that wait for the end of the limit find the slots free
+	}
+	return max(slot, l.startWait(ahead, now))
 }
 
 // refusal returns the refusal of a request that would wait for a time. The caller may
 // return when those ahead of it have started, and those that were told to return before it.
 func (l *Limiter) refusal(r Request, wait, now time.Duration) Refusal {
-	if l.starts.wait(float64(len(l.queue)), now) > 0 {
+	if l.startWait(len(l.queue), now) > 0 {
 		return Refusal{RetryAfter: l.returnTime(r, now), Rate: true}
 	}
 	if l.overloadLasts(r.Urgency) {
