fleet, serve: the limit of cold targets is followed, and told to other nodes

Nodes did not use what heartbeats say of cold targets. A target is now cold as long as its last heartbeat says, and while that is not known: before the first heartbeat, after a refused connection, a crash or a silence. Its node limits the starts, and writes a flag to its record once when the coldness begins and once when it has ended. The planner counts a cold owner with what it tolerates, and requests without keys go to warm targets first.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -90,6 +90,7 @@
 		Name: s.Name, Address: s.Addresses.Peer(), DataCentre: s.DataCentre, Region: s.Region,
 		Store: ledger, Health: ledger.Health(), Peers: peers, Clock: c, Log: log,
 		RulesKey: platform.RulesKey, Rules: platform.DecodeRules,
+		ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
 	})
 	ledger.SetRelays(a.fleet.PeerAddresses)
 	a.router = serve.New(serve.Config{
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -65,4 +65,8 @@
 		"The planning node compared the targets of a service, and moved keys from busy to idle ones if moved is true. A ratio "+
 			"of 1 is the mean of load over capacity.",
 		"None. A target that refuses for lack of free slots although its ratio is low has less capacity than it reported.")
+	eventTargetCold = event.Define(3030, "target cold", slog.LevelInfo,
+		"The target beside the node is cold, so that it gets few requests in a second, or is warm again (cold is false). If known is "+
+			"false, the target may be cold: it refused connections, fell silent, or an event may have made it cold.",
+		"None. If it lasts, look at the heartbeats of the target.")
 )
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,9 @@
 	// RulesKey is the store key of the operators' rules, which Rules decodes.
 	RulesKey string
 	Rules    func(b []byte) (*rules.Set, error)
+	// A cold target gets the rate that its service tolerates times ColdFactor, and at most
+	// ColdSlack requests more in any second.
+	ColdFactor, ColdSlack float64
 }
 
 // Fleet is a node's membership in its site. One goroutine owns its state and publishes
@@ -253,6 +256,7 @@
 	v := &View{
 		rules: f.rules, members: f.members, ranges: f.ranges, local: f.local,
 		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
+		coldFactor: f.cfg.ColdFactor, coldSlack: f.cfg.ColdSlack,
 	}
 	old := f.view.Load()
 	if old != nil && sameNames(old.order, f.members) {
--- a/fleet/local.go
+++ b/fleet/local.go
@@ -49,7 +49,7 @@
 type Heartbeat struct {
 	Target
 	Sequence      uint64
-	ColdRemaining time.Duration // for which the target remains slow after its start
+	ColdRemaining time.Duration // for which the target remains cold
 	Holds         []KeyRange
 	Released      []ReleasedRange
 }
@@ -76,6 +76,8 @@
 	// earlierHoldEndsBy is the latest end of any hold that an earlier run of this node granted.
 	earlierHoldEndsBy time.Duration
 
+	coldness coldness
+
 	limit           float64       // requests a second that the target names
 	limitKnown      bool          // the target named a limit, or ended one, to this run
 	limitRecordedAt time.Duration // when heartbeat.Limit last changed
@@ -122,7 +124,8 @@
 	if hb.Leaving && l.leavingSince == 0 {
 		l.leavingSince = now
 	}
-	hb.Limit = l.heartbeat.Limit // heartbeats do not carry it
+	hb.Limit, hb.Cold = l.heartbeat.Limit, l.heartbeat.Cold // heartbeats do not carry them
+	l.coldness.observe(hb.ColdRemaining, now)
 	l.present, l.heartbeat, l.heardAt = true, hb, now
 	if len(hb.Released) > 0 {
 		pending := slices.Clone(l.pending)
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -90,8 +90,9 @@
 }
 
 // capacity returns how many requests a second a target can run. Without a known service
-// time the result is only comparable with that of other targets.
-func (p *planner) capacity(m Member, mean float64) float64 {
+// time the result is only comparable with that of other targets. A cold target gets no more
+// than coldRate, unless that is 0.
+func (p *planner) capacity(m Member, mean, coldRate float64) float64 {
 	slots := float64(max(m.Target.Slots, 1))
 	if mean == 0 {
 		return slots
@@ -100,6 +101,9 @@
 	if m.Target.Limit > 0 {
 		capacity = m.Target.Limit
 	}
+	if m.Target.Cold && coldRate > 0 {
+		capacity = min(capacity, coldRate)
+	}
 	s := p.serviceRates[m.Name]
 	if s.incarnation != m.Target.Incarnation {
 		s = serviceRate{}
@@ -256,7 +260,7 @@
 // moved.
 func (f *Fleet) owners(service string, now time.Duration) []span.Owner {
 	var owners []span.Owner
-	p, mean := &f.planner, f.planner.meanServiceTime()
+	p, mean, coldRate := &f.planner, f.planner.meanServiceTime(), f.coldRate(service)
 	f.View().Members(func(v Member) {
 		if v.Target == nil || v.Target.Service != service || v.Target.Lost {
 			return
@@ -275,7 +279,7 @@
 		}
 		delete(p.lostLogged, v.Name)
 		owners = append(owners, span.Owner{
-			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean), Leaving: v.Target.Leaving, Stopping: v.Stopping,
+			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean, coldRate), Leaving: v.Target.Leaving, Stopping: v.Stopping,
 			Suspect: v.Name != f.cfg.Name && !p.isAlive(v.Name, now),
 		})
 	})
--- a/fleet/planner_test.go
+++ b/fleet/planner_test.go
@@ -22,10 +22,10 @@
 		p.observeServiceTimes(report("slow", 40, 0.4))
 	}
 	p.observeServiceTimes(report("few quick answers", 2, 0.02))
-	average := p.capacity(member("average"), p.meanServiceTime())
+	average := p.capacity(member("average"), p.meanServiceTime(), 15)
 	assertRatio := func(name string, from, to float64) {
 		t.Helper()
-		if r := p.capacity(member(name), p.meanServiceTime()) / average; r < from || r > to {
+		if r := p.capacity(member(name), p.meanServiceTime(), 15) / average; r < from || r > to {
 			t.Errorf("target %q has the capacity of %.2f average ones, want %.2f to %.2f", name, r, from, to)
 		}
 	}
@@ -34,7 +34,12 @@
 	assertRatio("new", 0.6, 0.8)
 	limited := member("average")
 	limited.Target.Limit = 7
-	if c := p.capacity(limited, p.meanServiceTime()); c != 7 {
+	if c := p.capacity(limited, p.meanServiceTime(), 15); c != 7 {
 		t.Errorf("capacity is %v a second, want the limit of 7 that the target names", c)
 	}
+	cold := member("average")
+	cold.Target.Cold = true
+	if c := p.capacity(cold, p.meanServiceTime(), 15); c != 15 {
+		t.Errorf("capacity of a cold target is %v a second, want the 15 that it tolerates", c)
+	}
 }
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -53,6 +53,9 @@
 	// Limit is the number of requests a second that the target takes from all nodes
 	// together, or 0 for no limit.
 	Limit float64 `cbor:"6,keyasint,omitempty"`
+	// Cold is true while the target tolerates few requests, as after its start. It is only
+	// set for services that limit them.
+	Cold bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Serves reports whether a target takes new work of a service.
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -28,6 +28,7 @@
 		if before != f.local.heartbeat.Target {
 			f.logTarget(before)
 		}
+		f.recordCold(now)
 		if f.synced {
 			reply = f.local.reply(f.ranges[hb.Service], f.cfg.Name, f.grantRight.validUntil, now)
 		}
@@ -114,6 +115,7 @@
 		}
 		before := f.local.heartbeat.Target
 		f.local.markEnded(now)
+		f.local.coldness.forget(now)
 		f.logTarget(before)
 		f.publish()
 	})
@@ -129,10 +131,14 @@
 // checkHeartbeat marks the target as lost when its heartbeats have stopped.
 func (f *Fleet) checkHeartbeat(now time.Duration) {
 	f.recordLimit(now)
+	if f.local.coldness.clearAt > 0 || f.local.heartbeat.Cold {
+		f.recordCold(now)
+	}
 	if f.local.present && !f.local.heartbeat.Lost && now-f.local.heardAt > targetLostAfter {
 		before := f.local.heartbeat.Target
 		f.local.heartbeat.Lost = true
 		f.logTarget(before)
+		f.local.coldness.forget(now)
 		f.publish()
 	}
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -17,6 +17,8 @@
 	rightEnds map[string]time.Duration
 	restarted bool
 	changed   chan struct{}
+	// coldFactor and coldSlack are those of Config.
+	coldFactor, coldSlack float64
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -47,6 +47,17 @@
 	HealthPath     string        // of the health check of a target
 }
 
+// ColdLimit returns how many requests a second a cold target of the service gets at an even
+// pace, and how many at most in any second, by the site's factor and slack. Both are 0 if a cold
+// target has no limit.
+func (s Service) ColdLimit(factor, slack float64) (pace float64, bound int) {
+	if s.ColdRate <= 0 {
+		return 0, 0
+	}
+	pace = s.ColdRate * factor
+	return pace, int(min(pace+slack, math.MaxInt32))
+}
+
 // Limits bound what a caller may send.
 type Limits struct {
 	HeaderBytes, BodyBytes     int
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -187,7 +187,7 @@
 	v.Members(func(m fleet.Member) {
 		if m.Serves(j.service) && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
 			candidates = append(candidates, pick.Candidate{
-				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: m.Target.Slots,
+				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: r.slotsFor(v, m),
 			})
 		}
 	})
@@ -233,7 +233,7 @@
 // request should go there first, else -1: a large answer of another target takes the
 // links of two hosts.
 func (r *Router) localIndex(j *job, candidates []pick.Candidate) int {
-	if r.sizes.large(j.class) == 0 {
+	if r.sizes.large(j.class) == 0 || r.coldLimit().Pace > 0 {
 		return -1
 	}
 	return slices.IndexFunc(candidates, func(c pick.Candidate) bool { return c.Name == r.cfg.Name })
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -193,6 +193,7 @@
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
+	r.admission.FollowCold(r.coldLimit, cfg.Clock.Elapsed())
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
@@ -206,6 +207,7 @@
 	r.stats.SetGauge("requests_running", int64(running))
 	r.stats.SetGauge("requests_waiting", int64(waiting))
 	r.stats.SetGauge("slots_limit", int64(limit))
+	r.setColdGauges()
 	overload := int64(0)
 	if r.admission.OverloadLasts() {
 		overload = 1
