--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"time"
-
 )
 
 const (
@@ -74,6 +73,9 @@
 
 func (f *Fleet) forgetColdness(now time.Duration) {
 	f.local.coldness.forget(now)
+	if f.coldRate(f.local.heartbeat.Service) == 0 {
+		return // nothing depends on it
+	}
 	f.recordCold(now)
 	f.publish()
 }
@@ -137,4 +139,3 @@
 	pace, _ := s.ColdLimit(f.cfg.ColdFactor, f.cfg.ColdSlack)
 	return pace
 }
-
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -70,13 +70,17 @@
 	return w
 }
 
-// decodeRules returns rules whose version is the first byte.
+// decodeRules returns rules whose version is the first byte, and the second the rate that a
+// cold target tolerates.
 func decodeRules(b []byte) (*rules.Set, error) {
-	version := uint64(1)
+	version, coldRate := uint64(1), 0.0
 	if len(b) > 0 {
 		version = uint64(b[0])
 	}
-	return rules.New(version, rules.Limits{}, nil, []rules.Service{{Name: desk, Sharded: true}})
+	if len(b) > 1 {
+		coldRate = float64(b[1])
+	}
+	return rules.New(version, rules.Limits{}, nil, []rules.Service{{Name: desk, Sharded: true, ColdRate: coldRate}})
 }
 
 func (w *site) startNode(name string) { w.startNodeAt(name, name) }
@@ -88,7 +92,7 @@
 	ledger := relay.New(w.ledger.Client(name), peers, w.clock)
 	f := fleet.New(fleet.Config{
 		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: "region", Store: ledger, Health: ledger.Health(), Peers: peers,
-		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules,
+		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules, ColdFactor: 1.5, ColdSlack: 8,
 	})
 	ledger.SetRelays(f.PeerAddresses)
 	f.SetCrashLog(w.crashLog)
@@ -136,6 +140,7 @@
 	sequence  uint64
 	leaving   bool
 	silent    bool
+	coldUntil time.Duration
 	up        bool
 	holds     []fleet.KeyRange
 	revoked   []fleet.KeyRange // to be released when the work ends
@@ -204,8 +209,9 @@
 	}
 	t.sequence++
 	hb := fleet.Heartbeat{
-		Target:   fleet.Target{Incarnation: t.inc, Service: desk, Slots: 12, Leaving: t.leaving},
-		Sequence: t.sequence, Holds: append(slices.Clone(t.holds), t.revoked...), Released: slices.Clone(t.released),
+		Target:        fleet.Target{Incarnation: t.inc, Service: desk, Slots: 12, Leaving: t.leaving},
+		ColdRemaining: max(0, t.coldUntil-w.clock.Elapsed()),
+		Sequence:      t.sequence, Holds: append(slices.Clone(t.holds), t.revoked...), Released: slices.Clone(t.released),
 	}
 	silent := t.silent
 	w.mu.Unlock()
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -80,6 +80,8 @@
 	ledger  *emul.Ledger
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
+	// coldUntil holds the time.Time up to which the target beside a node says that it is cold.
+	coldUntil sync.Map
 }
 
 func runInSite(t *testing.T, test func(t *testing.T, s *site)) {
@@ -133,6 +135,9 @@
 
 const stallTime = time.Second
 
+// coldRules are rules with a service whose cold targets tolerate 15 requests a second.
+var coldRules = []byte("cold")
+
 func decodeRules(b []byte) (*rules.Set, error) {
 	if bytes.Equal(b, stallingRules) {
 		time.Sleep(stallTime)
@@ -143,9 +148,13 @@
 			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2,
 		}
 	}
+	coldRate := 0.0
+	if bytes.Equal(b, coldRules) {
+		coldRate = 15
+	}
 	return rules.New(1, rules.Limits{}, []rules.Route{
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
-	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive"}})
+	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive", ColdRate: coldRate}})
 }
 
 func (s *site) start(ctx context.Context, name, service string, ledger *emul.Ledger) chan struct{} {
@@ -155,7 +164,7 @@
 	log := slog.New(slog.DiscardHandler)
 	f := fleet.New(fleet.Config{
 		Name: name, Address: name, DataCentre: name, Region: "r", Store: ledger.Client(name), Peers: peers, Clock: c,
-		Log: log, RulesKey: "rules", Rules: decodeRules,
+		Log: log, RulesKey: "rules", Rules: decodeRules, ColdFactor: 1.5, ColdSlack: 8,
 	})
 	target := &fakeTarget{reply: ok}
 	if s.prepare != nil {
@@ -190,6 +199,10 @@
 	b := fleet.Heartbeat{Target: fleet.Target{Incarnation: span.Incarnation{Target: name, StartedAt: 1}, Service: service, Slots: 2}}
 	for ctx.Err() == nil {
 		b.Sequence++
+		b.ColdRemaining = 0
+		if until, ok := s.coldUntil.Load(name); ok {
+			b.ColdRemaining = max(0, time.Until(until.(time.Time)))
+		}
 		select {
 		case <-s.leaving:
 			b.Leaving = service == "desk"
--- a/triage/cold_test.go
+++ b/triage/cold_test.go
@@ -22,9 +22,8 @@
 }
 
 type coldCaller struct {
-	w           *Waiter
-	at, giveUp  time.Duration
-	serviceTime time.Duration
+	w          *Waiter
+	at, giveUp time.Duration
 }
 
 const (
