--- a/agent/agent.go
+++ b/agent/agent.go
@@ -91,6 +91,7 @@
 		Store: ledger, Health: ledger.Health(), Peers: peers, Clock: c, Log: log,
 		RulesKey: platform.RulesKey, Rules: platform.RulesDecoder(s.Regions),
 		EvacuationPrefix: platform.EvacuationPrefix, EvacuationTime: s.Limits.Evacuation,
+		ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
 	})
 	ledger.SetRelays(a.fleet.PeerAddresses)
 	a.router = serve.New(serve.Config{
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -72,15 +72,19 @@
 	return w
 }
 
-// decodeRules returns rules whose version is the first byte. The others are the regions of a
-// route, one letter each; zeros are left out, and a bar begins the next route.
+// decodeRules returns rules whose version is the first byte. The second is the rate that a cold
+// target tolerates if it is below the letters; else the others are the regions of a route, one
+// letter each, and a bar begins the next route.
 func decodeRules(b []byte) (*rules.Set, error) {
-	version := uint64(1)
+	version, coldRate := uint64(1), 0.0
 	if len(b) > 0 {
 		version = uint64(b[0])
 	}
+	if len(b) > 1 && b[1] < 'A' {
+		coldRate = float64(b[1])
+	}
 	var routes []rules.Route
-	if len(b) > 1 && b[1] != 0 {
+	if len(b) > 1 && b[1] >= 'A' {
 		for i, regions := range strings.Split(string(b[1:]), "|") {
 			routes = append(routes, rules.Route{
 				Name: fmt.Sprint(i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Regions: strings.Split(regions, ""),
@@ -88,7 +92,7 @@
 			})
 		}
 	}
-	return rules.New(version, rules.Limits{}, routes, []rules.Service{{Name: desk, Sharded: true}})
+	return rules.New(version, rules.Limits{}, routes, []rules.Service{{Name: desk, Sharded: true, ColdRate: coldRate}})
 }
 
 func (w *site) startNode(name string) { w.startNodeAt(name, name) }
@@ -101,6 +105,7 @@
 	f := fleet.New(fleet.Config{
 		Name: name, Address: address, DataCentre: "dc-" + name[:1], Region: name[:1], Store: ledger, Health: ledger.Health(), Peers: peers,
 		Clock: w.clock, Log: w.log, RulesKey: "rules", Rules: decodeRules, EvacuationPrefix: evacuate,
+		ColdFactor: 1.5, ColdSlack: 8,
 	})
 	ledger.SetRelays(f.PeerAddresses)
 	f.SetCrashLog(w.crashLog)
@@ -148,6 +153,7 @@
 	sequence  uint64
 	leaving   bool
 	silent    bool
+	coldUntil time.Duration
 	up        bool
 	holds     []fleet.KeyRange
 	revoked   []fleet.KeyRange // to be released when the work ends
@@ -216,8 +222,9 @@
 	}
 	t.sequence++
 	hb := fleet.Heartbeat{
-		Target:   fleet.Target{Incarnation: t.inc, Service: desk, Slots: 12, Leaving: t.leaving},
-		Sequence: t.sequence, Holds: append(slices.Clone(t.holds), t.revoked...), Released: slices.Clone(t.released),
+		Target:        fleet.Target{Incarnation: t.inc, Service: desk, Slots: 12, Leaving: t.leaving},
+		ColdRemaining: max(0, t.coldUntil-w.clock.Elapsed()),
+		Sequence:      t.sequence, Holds: append(slices.Clone(t.holds), t.revoked...), Released: slices.Clone(t.released),
 	}
 	silent := t.silent
 	w.mu.Unlock()
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -80,6 +80,8 @@
 	ledger  *emul.Ledger
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
+	// coldUntil holds the time.Time up to which the target beside a node says that it is cold.
+	coldUntil sync.Map
 }
 
 func runInSite(t *testing.T, test func(t *testing.T, s *site)) {
@@ -139,6 +141,9 @@
 	return fmt.Appendf(nil, "regions %d %s", version, strings.Join(regions, " "))
 }
 
+// coldRules are rules with a service whose cold targets tolerate 15 requests a second.
+var coldRules = []byte("cold")
+
 func decodeRules(b []byte) (*rules.Set, error) {
 	version, regions := uint64(1), []string(nil)
 	if fields := strings.Fields(string(b)); len(fields) > 1 && fields[0] == "regions" {
@@ -157,9 +162,13 @@
 			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Regions: regions,
 		}
 	}
+	coldRate := 0.0
+	if bytes.Equal(b, coldRules) {
+		coldRate = 15
+	}
 	return rules.New(version, rules.Limits{}, []rules.Route{
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
-	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive"}})
+	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive", ColdRate: coldRate}})
 }
 
 func (s *site) start(ctx context.Context, name, service string, ledger *emul.Ledger) chan struct{} {
@@ -170,6 +179,7 @@
 	f := fleet.New(fleet.Config{
 		Name: name, Address: name, DataCentre: name, Region: "r-" + name[:1], Store: ledger.Client(name), Peers: peers, Clock: c,
 		Log: log, RulesKey: "rules", Rules: decodeRules, EvacuationPrefix: "evacuate/",
+		ColdFactor: 1.5, ColdSlack: 8,
 	})
 	target := &fakeTarget{reply: ok}
 	if s.prepare != nil {
@@ -204,6 +214,10 @@
 	b := fleet.Heartbeat{Target: fleet.Target{Incarnation: span.Incarnation{Target: name, StartedAt: 1}, Service: service, Slots: 2}}
 	for ctx.Err() == nil {
 		b.Sequence++
+		b.ColdRemaining = 0
+		if until, ok := s.coldUntil.Load(name); ok {
+			b.ColdRemaining = max(0, time.Until(until.(time.Time)))
+		}
 		select {
 		case <-s.leaving:
 			b.Leaving = service == "desk"
