fleet: targets of a data centre count as cold when its evacuation ends

Targets that return from an evacuation may be cold, and the node beside them learned of it with the next heartbeat only. It now takes them for cold until a heartbeat after the end says otherwise. TestEvacuation checks it in place of the time of the end, which nothing used.

--- a/fleet/evacuate_test.go
+++ b/fleet/evacuate_test.go
@@ -60,22 +60,34 @@
 	assertAllHeld(t, w)
 }
 
+// assertUnknownCold fails if other targets than those of some data centres, named by letters,
+// count as cold until a heartbeat says otherwise, or if these do not.
+func assertUnknownCold(t *testing.T, w *site, dataCentres string) {
+	t.Helper()
+	now := w.clock.Elapsed()
+	for name, v := range w.views() {
+		if cold := v.Cold(now).Until-now > time.Hour; cold != strings.Contains(dataCentres, name[:1]) {
+			t.Errorf("target of %s counts as cold: %v", name, cold)
+		}
+	}
+}
+
 // Guards against targets of an evacuated data centre that own keys or get work after the time
 // that operators rely on, against a second owner, and against an evacuation that doesn't end.
 func TestEvacuation(t *testing.T) {
 	t.Run("one data centre", func(t *testing.T) {
 		onSite(t, func(w *site) {
+			w.ledger.Put("rules", []byte{2, 15})
 			w.ledger.Put(evacuate+"dc-a", nil) // the planning node is there
 			time.Sleep(evacuationTime)
 			assertEvacuated(t, w, "dc-a", "bc")
+			assertUnknownCold(t, w, "")
 			w.withdraw(t, "dc-a")
-			time.Sleep(time.Second)
+			time.Sleep(200 * time.Millisecond)
+			assertUnknownCold(t, w, "a")
+			time.Sleep(1300 * time.Millisecond)
 			assertClosed(t, w, "dc-a", false)
-			for name, v := range w.views() {
-				if ended := v.EvacuationEnd() > 0; ended != (name[0] == 'a') {
-					t.Errorf("%s reports the end of an evacuation of its data centre: %v", name, ended)
-				}
-			}
+			assertUnknownCold(t, w, "")
 		})
 	})
 	t.Run("two data centres, the second one after the keys have moved there", func(t *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,7 +96,6 @@
 	restarted      bool                  // an earlier run of this node has written its record
 	rules          *rules.Set
 	policy         *place.Policy // of the rules and evacuations
-	evacuationEnd  time.Duration // when an evacuation of this data centre last ended
 	knownRev       uint64        // revision up to which all records are known
 	freshness      freshness
 	election       election
@@ -270,7 +269,7 @@
 
 func (f *Fleet) publish() {
 	v := &View{
-		rules: f.rules, policy: f.policy, evacuationEnd: f.evacuationEnd, members: f.members, ranges: f.ranges, local: f.local,
+		rules: f.rules, policy: f.policy, members: f.members, ranges: f.ranges, local: f.local,
 		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
 		coldFactor: f.cfg.ColdFactor, coldSlack: f.cfg.ColdSlack,
 	}
--- a/fleet/place.go
+++ b/fleet/place.go
@@ -62,7 +62,7 @@
 	if it.Removed {
 		delete(evacuations, dataCentre)
 		if dataCentre == f.cfg.DataCentre {
-			f.evacuationEnd = now
+			f.local.coldness.forget(now) // targets that return may be cold
 		}
 		attrs = append(attrs, slog.Int64("lasted_ms", f.cfg.Clock.Since(e.Since).Milliseconds()))
 		eventEvacuationEnded.Log(context.Background(), f.cfg.Log, attrs...)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -10,16 +10,15 @@
 
 // View is an immutable snapshot of what a node knows about its site.
 type View struct {
-	rules         *rules.Set
-	policy        *place.Policy
-	evacuationEnd time.Duration
-	members       map[string]Member
-	order         []string // names of members, sorted
-	ranges        map[string]span.Map
-	local         localTarget
-	rightEnds     map[string]time.Duration
-	restarted     bool
-	changed       chan struct{}
+	rules     *rules.Set
+	policy    *place.Policy
+	members   map[string]Member
+	order     []string // names of members, sorted
+	ranges    map[string]span.Map
+	local     localTarget
+	rightEnds map[string]time.Duration
+	restarted bool
+	changed   chan struct{}
 	// coldFactor and coldSlack are those of Config.
 	coldFactor, coldSlack float64
 }
@@ -30,10 +29,6 @@
 // Policy returns what restricts the placement of work.
 func (v *View) Policy() *place.Policy { return v.policy }
 
-// EvacuationEnd returns when this node learned that an evacuation of its own data centre has
-// ended, or zero if none has.
-func (v *View) EvacuationEnd() time.Duration { return v.evacuationEnd }
-
 // Member returns a node by name.
 func (v *View) Member(name string) (Member, bool) {
 	m, ok := v.members[name]
