--- a/fleet/record.go
+++ b/fleet/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/place"
 	"burdocklift/span"
 )
 
@@ -38,6 +39,11 @@
 	Revoked bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Place returns where the target beside a node runs.
+func (m Member) Place() place.Target {
+	return place.Target{DataCentre: m.DataCentre, Region: m.Region, Draining: m.Target != nil && m.Target.Leaving}
+}
+
 // Serves reports whether a node takes new work of a service to its target.
 func (m Member) Serves(service string) bool {
 	return !m.Stopping && !m.Revoked && m.Target.Serves(service)
@@ -53,6 +59,9 @@
 	// Limit is the number of requests a second that the target takes from all nodes
 	// together, or 0 for no limit.
 	Limit float64 `cbor:"6,keyasint,omitempty"`
+	// Cold is true while the target tolerates few requests, as after its start. It is only
+	// set for services that limit them.
+	Cold bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Serves reports whether a target takes new work of a service.
