pick, triage: targets of different speeds are chosen by expected completion time

Targets of one service have speeds from 0.5 to 1.6 and short slowdowns by 3. The picker went by this node's own counts alone, and estimates of service times rose with each short slowdown, so that work was refused that could end. PickExpected compares two candidates by work ahead, service time, pace and latency, with figures that fade within a second, and takes a longer path only for a gain above a multiple of its latency. Nothing calls it yet.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -24,6 +24,8 @@
 // Config holds the settings of a Picker. Zero fields take their defaults.
 type Config struct {
 	DataCentre, Region string // where the node is
+	// Latencies are those from the node, for PickExpected; nil for the defaults.
+	Latencies *Latencies
 
 	// SpillRatio is the ratio of requests in flight to slots from which targets at
 	// the next distance (same region, then other regions) are eligible too.
@@ -46,6 +48,7 @@
 	// Unhealthy is the target's own health report. An unhealthy target counts as
 	// having one slot until a success shows that the report is wrong.
 	Unhealthy bool
+	Local     bool // on the node's own host
 }
 
 // Result is the outcome of a request.
@@ -67,7 +70,8 @@
 	clock   clockwork.Clock
 	rng     *rand.Rand
 	targets map[string]*target
-	scratch []option // reused by each Pick
+	scratch []option  // reused by each Pick
+	paceAt  time.Time // when a target last named its pace
 }
 
 // option is a candidate with its observed state.
@@ -76,6 +80,7 @@
 	target   *target
 	capacity float64
 	distance int
+	outlook  outlook // set by PickExpected
 }
 
 // New returns a picker with the given settings.
@@ -228,6 +233,7 @@
 		return
 	}
 	t.inFlight--
+	t.report.since = max(t.report.since-1, 0)
 	now := p.clock.Now()
 	t.lastUsed = now
 	switch {
--- a/pick/target.go
+++ b/pick/target.go
@@ -31,6 +31,7 @@
 	busyUntil    time.Time
 	lastSuccess  time.Time
 	lastUsed     time.Time
+	report       report // for PickExpected
 }
 
 func (p *Picker) target(now time.Time, name string, hasHistory bool) *target {
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -73,6 +73,7 @@
 	startLoad    load                   // in starts
 	linkLoad     load                   // in seconds of the link
 	starts       bucket
+	pace         pace
 	slotReturns  map[int]time.Duration // by urgency, when the last refused caller was told to return
 	returns      time.Duration         // when the last caller that the rate refused was told to return
 }
@@ -195,6 +196,14 @@
 
 // Release returns a slot. A success updates the service time of the class.
 func (l *Limiter) Release(class string, took time.Duration, success bool, now time.Duration) {
+	l.ReleaseAtPace(class, took, took, success, now)
+}
+
+// ReleaseAtPace is Release for a target that names its pace. The mean service time of the
+// class goes by the time that the request would have taken at the lasting pace, so that a
+// short slowdown does not refuse what can end; the bound goes by what it took, as the next
+// request may meet a slowdown too.
+func (l *Limiter) ReleaseAtPace(class string, took, lasting time.Duration, success bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
@@ -202,7 +211,7 @@
 		if l.times == nil {
 			l.times = make(map[string]serviceTime)
 		}
-		l.times[class] = l.times[class].observe(took, now)
+		l.times[class] = l.times[class].observe(took, now).correct(lasting - took)
 	}
 	l.dispatch(now)
 }
