serve, peer, platform: forwarded requests in the terse form, and choice by expected completion time

Replies to forwarded requests said nothing of the target's load, and an older node can't decode a longer array. Nodes now announce what they accept in their pongs, which earlier versions send empty and ignore; a node that announces it gets requests in the terse form, whose results carry queue, running, limit, service time and pace of the target and the time spent there. Services whose targets name it are served by expected completion time, others as before.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -30,6 +30,7 @@
 	lastSent     time.Duration                 // time of the last frame to the other side
 	pongPending  bool                          // a ping has not been answered yet
 	sendsParts   bool                          // the other side accepts replies in parts
+	accepted     Features                      // of the other side, once it has answered the first ping
 }
 
 // pendingCall is a call without a complete reply.
@@ -251,6 +252,10 @@
 		if cancel != nil {
 			cancel()
 		}
+	case framePong:
+		c.mu.Lock()
+		c.accepted = Features(f.method)
+		c.mu.Unlock()
 	case framePing:
 		if f.method&acceptsParts != 0 {
 			c.mu.Lock()
@@ -286,7 +291,7 @@
 	}
 	c.pongPending = true
 	c.tomb.Go(func() error {
-		_ = c.send(context.Background(), frame{kind: framePong}) // a failure closes the connection
+		_ = c.send(context.Background(), frame{kind: framePong, method: Method(c.transport.features)}) // a failure closes the connection
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.pongPending = false
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -61,6 +61,7 @@
 	handlers  map[Method]Handler
 	dial      Dialer
 	uplink    *uplink.Scheduler // nil without a limit
+	features  Features          // of this node
 	onPanic   func(m Method, reason any, stack []byte)
 	runCtx    context.Context // ends with Run
 	cancelRun context.CancelFunc
@@ -129,11 +130,7 @@
 }
 
 func (t *Transport) call(ctx context.Context, address string, m Method, body []byte) ([]byte, error) {
-	c, err := t.connTo(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	return c.call(ctx, m, body)
+	return t.Exchange(ctx, address, func(Features) (Method, []byte, error) { return m, body, nil })
 }
 
 // connTo returns an open connection to an address. It waits for a dial in
--- a/pick/expect.go
+++ b/pick/expect.go
@@ -38,7 +38,7 @@
 // Paths between data centres share links; the one between regions carries 60 Mbit/s for all
 // traffic together. With 16 for regions, 0.008 of the requests crossed where one region had
 // more of them, and none does by own counts.
-var pathCost = [pathCount]float64{SameRegion: 4, OtherRegion: 20}
+var pathCost = [PathCount]float64{SameRegion: 4, OtherRegion: 20}
 
 // Load is what a target's node says of the target in a reply.
 type Load struct {
@@ -129,7 +129,7 @@
 	e := newEstimate(now, class, opts)
 	var best option
 	least := math.Inf(1) // expected time of the best option on nearer paths, drawn or not
-	for path := SameDataCentre; path < pathCount; path++ {
+	for path := SameDataCentre; path < PathCount; path++ {
 		group := p.group(opts, candidates, path)
 		if len(group) == 0 {
 			continue
@@ -149,17 +149,12 @@
 	return candidates[best.index], true
 }
 
-// PathTo returns the path to a candidate.
-func (p *Picker) PathTo(c Candidate) Path {
-	switch {
-	case c.Local:
+// pathTo returns the path to a candidate.
+func (p *Picker) pathTo(c Candidate) Path {
+	if c.Local {
 		return SameHost
-	case c.DataCentre == p.config.DataCentre && c.Region == p.config.Region:
-		return SameDataCentre
-	case c.Region == p.config.Region:
-		return SameRegion
 	}
-	return OtherRegion
+	return pathOf(p.config.DataCentre, p.config.Region, c.DataCentre, c.Region)
 }
 
 // group returns the options on a path, with their latency. The one on this host counts as as
@@ -168,7 +163,7 @@
 	var group []option
 	for _, o := range opts {
 		c := candidates[o.index]
-		if to := p.PathTo(c); max(to, SameDataCentre) == path {
+		if to := p.pathTo(c); max(to, SameDataCentre) == path {
 			o.outlook = outlook{
 				slots: float64(max(c.Slots, 1)), local: c.Local,
 				latency: 2 * p.config.Latencies.OneWay(c.DataCentre, to).Seconds(),
--- a/pick/path.go
+++ b/pick/path.go
@@ -14,12 +14,13 @@
 	SameDataCentre
 	SameRegion
 	OtherRegion
-	pathCount = iota
+	// PathCount is the number of paths.
+	PathCount = iota
 )
 
 // defaultLatency is the one-way latency of each path until calls have been measured: the
 // figures of the platform's network.
-var defaultLatency = [pathCount]time.Duration{0, 500 * time.Microsecond, 4900 * time.Microsecond, 8 * time.Millisecond}
+var defaultLatency = [PathCount]time.Duration{0, 500 * time.Microsecond, 4900 * time.Microsecond, 8 * time.Millisecond}
 
 const (
 	// latencyRange bounds measured latencies to so many times the default, up or down, so
@@ -33,18 +34,40 @@
 	maxPathEntries = 64
 )
 
-// Latencies holds the measured one-way latencies from this node to data centres. The zero
-// value is empty. It is safe for concurrent use.
+// pathOf returns the path between two places on different hosts.
+func pathOf(dataCentre, region, otherCentre, otherRegion string) Path {
+	switch {
+	case region != otherRegion:
+		return OtherRegion
+	case dataCentre != otherCentre:
+		return SameRegion
+	}
+	return SameDataCentre
+}
+
+// Latencies holds the measured one-way latencies from a node to data centres. It is safe for
+// concurrent use.
 type Latencies struct {
+	dataCentre, region string // of the node
+
 	mu     sync.Mutex
 	oneWay map[string]time.Duration // by data centre
 }
 
-// Observe records the time that a call took on the way, in both directions together.
-func (l *Latencies) Observe(dataCentre string, p Path, bothWays time.Duration) {
-	if p <= SameHost || p >= pathCount {
-		return
-	}
+// NewLatencies returns the default latencies from a node in a data centre and region.
+func NewLatencies(dataCentre, region string) *Latencies {
+	return &Latencies{dataCentre: dataCentre, region: region, oneWay: make(map[string]time.Duration)}
+}
+
+// PathTo returns the path to another node.
+func (l *Latencies) PathTo(dataCentre, region string) Path {
+	return pathOf(l.dataCentre, l.region, dataCentre, region)
+}
+
+// Observe records the time that a call to a node took on the way, in both directions
+// together.
+func (l *Latencies) Observe(dataCentre, region string, bothWays time.Duration) {
+	p := l.PathTo(dataCentre, region)
 	sample := min(max(bothWays/2, defaultLatency[p]/latencyRange), defaultLatency[p]*latencyRange)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -57,9 +80,6 @@
 	default:
 		known += time.Duration(latencyRise * float64(sample-known))
 	}
-	if l.oneWay == nil {
-		l.oneWay = make(map[string]time.Duration)
-	}
 	l.oneWay[dataCentre] = known
 }
 
--- a/serve/advice.go
+++ b/serve/advice.go
@@ -75,6 +75,7 @@
 	current := r.incarnation == inc
 	r.mu.Unlock()
 	if current {
+		r.followPace(ctx, inc, a.Pace, now)
 		setRate := func(rate float64) { r.admission.SetRate(rate, now) }
 		if rate, changed := r.limit.follow(a, sent, now, setRate); changed {
 			eventTargetLimited.Log(ctx, r.cfg.Log, slog.String("target", inc.Target), slog.Float64("limit", rate))
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -188,6 +188,7 @@
 		if m.Serves(j.service) && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
 			candidates = append(candidates, pick.Candidate{
 				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: m.Target.Slots,
+				Local: m.Name == r.cfg.Name,
 			})
 		}
 	})
@@ -202,7 +203,7 @@
 		if i := r.localIndex(j, candidates); number == 0 && i >= 0 {
 			options = candidates[i : i+1]
 		}
-		c, ok := picker.Pick(options)
+		c, ok := r.pick(picker, j.class, options)
 		if !ok {
 			break
 		}
--- a/serve/event.go
+++ b/serve/event.go
@@ -35,6 +35,10 @@
 	"Another node told which requests were in flight on its target when it crashed, or which of them were answered since.",
 	"None.")
 
+var eventTargetSlow = event.Define(2920, "target slow", slog.LevelWarn,
+	"The target beside the node names a service time of at least twice its usual one for a second (slow is true), or no longer.",
+	"Check what slows the target down if it lasts. Requests without keys go to other targets meanwhile.")
+
 var eventRequestFailed = event.Define(2900, "request failed", slog.LevelInfo,
 	"A request of a caller was refused, failed or ended without a response. The reason field names the cause.",
 	"Search the logs of all nodes for the request id.")
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -97,7 +97,7 @@
 		}
 	})
 	defer stop()
-	reply, err := peer.Call[forwardedResult](wait, r.cfg.Peers, m.Address, MethodServe, msg)
+	reply, err := r.exchange(wait, j, m, msg)
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
 		return notRun(ReasonCallerGone, 0)
@@ -133,6 +133,11 @@
 	if err := cbor.Unmarshal(body, &msg); err != nil {
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
+	return cbor.Marshal(r.serveForwarded(ctx, msg))
+}
+
+// serveForwarded runs a request of another node on the local target.
+func (r *Router) serveForwarded(ctx context.Context, msg forwardedRequest) forwardedResult {
 	remaining := time.Duration(msg.Remaining) * time.Microsecond
 	j := &job{
 		request: &Request{
@@ -167,7 +172,7 @@
 			out.Outcome = uint8(i)
 		}
 	}
-	return cbor.Marshal(out)
+	return out
 }
 
 // cancelledClass is the class of cancelled requests in metrics.
--- a/serve/local.go
+++ b/serve/local.go
@@ -78,13 +78,14 @@
 		defer cancel()
 		defer context.AfterFunc(r.aborted, cancel)()
 	}
+	pace := r.admission.Present(now)
 	response, err := r.runGuarded(ctx, j, t, j.deadline-now)
 	end := r.cfg.Clock.Elapsed()
 	success := err == nil && response.Status < 500
 	if errors.Is(err, ErrFull) {
 		r.admission.LowerLimit(end)
 	}
-	r.admission.Release(j.class, end-now, success, end)
+	r.admission.ReleaseAtPace(j.class, end-now, triage.Lasting(end-now, pace, r.admission.Present(end)), success, end)
 	if success {
 		r.cfg.Fleet.RecordServiceTime(end - now)
 	}
--- a/serve/parts.go
+++ b/serve/parts.go
@@ -49,6 +49,7 @@
 	if p == nil {
 		p = pick.New(pick.Config{
 			DataCentre: r.cfg.DataCentre, Region: r.cfg.Region, Nodes: 1, Clock: r.cfg.Clock,
+			Latencies: r.latencies,
 		})
 		r.pickers[service] = p
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -57,6 +57,7 @@
 	Limit   float64 // requests a second that the target takes from all nodes together; 0 for no limit
 	Limited bool    // the target names a limit
 	Leaving bool    // the target takes no new requests
+	Pace    float64 // present service time as a ratio to the usual one, 0 if the target does not name it
 }
 
 // Errors returned by a Target. After any other error the request may have run.
@@ -165,10 +166,13 @@
 	limit     targetLimit
 	leaving   departures
 	sizes     answerSizes
-	aborted   context.Context // cancelled when requests in flight must end at once
+	latencies *pick.Latencies
+	exchanged [pick.PathCount]atomic.Int64 // bytes of forwarded requests and their results, by path
+	aborted   context.Context              // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
 	drain        atomic.Int64 // drain period, a time.Duration
+	slow         atomic.Bool  // the local target takes much longer than usual
 	stopping     atomic.Bool  // refuses requests of other nodes
 	closed       atomic.Bool  // refuses requests of callers
 	end          atomic.Int64 // no request runs beyond this time.Duration on the clock, 0 for no end
@@ -188,13 +192,15 @@
 func New(cfg Config) *Router {
 	r := &Router{
 		cfg: cfg, splits: make(map[string]*trafficSplit), pickers: make(map[string]*pick.Picker),
-		retries: make(map[string]retryPolicies),
+		retries: make(map[string]retryPolicies), latencies: pick.NewLatencies(cfg.DataCentre, cfg.Region),
 	}
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
+	cfg.Peers.Handle(MethodServeTerse, r.handleServeTerse)
+	cfg.Peers.Announce(acceptsTerse)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
 	return r
 }
@@ -212,6 +218,7 @@
 	}
 	r.stats.SetGauge("overload_lasts", overload)
 	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
+	r.setUnevenGauges()
 	return &r.stats
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -51,6 +51,7 @@
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit, a.Limited = limit, true
 	}
+	a.Pace, _ = strconv.ParseFloat(h.Get("Pace"), 64) // 0 without the header
 	return a
 }
 
@@ -80,9 +81,16 @@
 	ledger  *emul.Ledger
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
+	connect func(name string, peers *peer.Transport) // called before a node runs, if not nil
 }
 
 func runInSite(t *testing.T, test func(t *testing.T, s *site)) {
+	t.Helper()
+	runInSiteWith(t, func(*site) {}, test)
+}
+
+// runInSiteWith changes a site before its nodes start.
+func runInSiteWith(t *testing.T, change func(s *site), test func(t *testing.T, s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -90,6 +98,7 @@
 			routers: make(map[string]*serve.Router), targets: make(map[string]*fakeTarget),
 			leaving: make(chan struct{}), net: emul.NewNet(), stops: make(map[string]func()),
 		}
+		change(s)
 		ledger := emul.NewLedger(time.Millisecond)
 		ledger.Put("rules", nil)
 		s.ledger = ledger
@@ -166,6 +175,9 @@
 		Name: name, DataCentre: name, Region: "r", Fleet: f, Peers: peers, Target: target, Clock: c,
 		Log: log, RetryRatio: 1, RetrySlack: 20, DrainPeriod: 2 * time.Second,
 	})
+	if s.connect != nil {
+		s.connect(name, peers)
+	}
 	l := s.net.Listen(name)
 	ended := make(chan struct{}, 3)
 	go func() { _ = peers.Run(ctx, l); ended <- struct{}{} }()
--- a/triage/pace.go
+++ b/triage/pace.go
@@ -67,13 +67,13 @@
 
 // ObservePace records the service time that the target named in a response, as a ratio to its
 // usual one. The estimates of all classes follow changes that last. Waiting requests that
-// can't end in time any more are refused at once.
-func (l *Limiter) ObservePace(figure float64, now time.Duration) {
+// can't end in time any more are refused at once. It returns the lasting pace.
+func (l *Limiter) ObservePace(figure float64, now time.Duration) (lasting float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ratio := l.pace.observe(figure, now)
 	if ratio == 1 {
-		return
+		return l.pace.lasting
 	}
 	for class, t := range l.times {
 		t.mean = time.Duration(float64(t.mean) * ratio)
@@ -81,6 +81,7 @@
 		l.times[class] = t
 	}
 	l.dispatch(now)
+	return l.pace.lasting
 }
 
 // Present returns the present service time by the lasting one, or 0 if the target names none.
