terse, peer, serve: strings that recur on a connection are sent once

Names of hosts, services, routes and programs were a third of a terse request. A connection now learns up to 32 of them; a number is used only after a reply to a message with its definition, so that neither order nor loss of messages matters.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -12,6 +12,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"burdocklift/terse"
 	"burdocklift/uplink"
 )
 
@@ -20,6 +21,8 @@
 	raw        net.Conn
 	transport  *Transport
 	tomb       tomb.Tomb
+	learner    terse.Learner // strings in calls of this side
+	memory     terse.Memory  // strings in calls of the other side
 	writeToken chan struct{} // holds a token while a frame is written
 
 	mu           sync.Mutex
@@ -230,7 +233,7 @@
 func (c *conn) handle(f frame) {
 	switch f.kind {
 	case frameCall:
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(context.WithValue(context.Background(), memoryKey{}, &c.memory))
 		c.mu.Lock()
 		c.cancels[f.stream] = cancel
 		c.mu.Unlock()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -130,7 +130,7 @@
 }
 
 func (t *Transport) call(ctx context.Context, address string, m Method, body []byte) ([]byte, error) {
-	return t.Exchange(ctx, address, func(Features) (Method, []byte, error) { return m, body, nil })
+	return t.Exchange(ctx, address, func(Remote) (Method, []byte, error) { return m, body, nil })
 }
 
 // connTo returns an open connection to an address. It waits for a dial in
--- a/serve/compat_test.go
+++ b/serve/compat_test.go
@@ -91,7 +91,7 @@
 	request, result, load := typical()
 	for _, body := range [][]byte{nil, []byte("body")} {
 		request.Body, result.Body = body, body
-		gotRequest, err := decodeTerseRequest(encodeTerseRequest(&request))
+		gotRequest, err := decodeTerseRequest(encodeTerseRequest(&request, nil).Bytes(), nil)
 		gotRequest.LegacyObjective = request.LegacyObjective // not sent
 		if err != nil || !reflect.DeepEqual(gotRequest, request) {
 			t.Errorf("request becomes %+v, %v", gotRequest, err)
@@ -104,10 +104,10 @@
 		}
 	}
 	request.Key, request.Idempotent, request.Header = -1, false, nil
-	if got, err := decodeTerseRequest(encodeTerseRequest(&request)); err != nil || got.Key != -1 || got.Idempotent {
+	if got, err := decodeTerseRequest(encodeTerseRequest(&request, nil).Bytes(), nil); err != nil || got.Key != -1 || got.Idempotent {
 		t.Errorf("request without a key becomes %+v, %v", got, err)
 	}
-	if _, err := decodeTerseRequest([]byte{1, 0xff}); !errors.Is(err, terse.ErrInvalid) {
+	if _, err := decodeTerseRequest([]byte{1, 0xff}, nil); !errors.Is(err, terse.ErrInvalid) {
 		t.Errorf("error of a faulty request is %v", err)
 	}
 }
@@ -122,13 +122,17 @@
 		}
 		return len(b), len(short)
 	}
+	var strings terse.Learner
+	first := encodeTerseRequest(&request, &strings)
+	strings.Confirm(first)
 	for _, m := range []struct {
 		name    string
 		message any
 		short   []byte
 		most    int
 	}{
-		{"request", request, encodeTerseRequest(&request), 150},
+		{"first request of a connection", request, first.Bytes(), 155},
+		{"request", request, encodeTerseRequest(&request, &strings).Bytes(), 90},
 		{"result", result, encodeTerseResult(&result, load), 70},
 	} {
 		long, short := sizes(m.message, m.short)
@@ -138,3 +142,34 @@
 		}
 	}
 }
+
+// BenchmarkForms compares the processor time of both forms: to encode and decode a typical
+// request and its result.
+func BenchmarkForms(b *testing.B) {
+	request, result, load := typical()
+	request.Body, result.Body = make([]byte, 1024), make([]byte, 1024)
+	b.Run("long", func(b *testing.B) {
+		for b.Loop() {
+			var gotRequest forwardedRequest
+			var gotResult forwardedResult
+			x, err := cbor.Marshal(request)
+			y, err2 := cbor.Marshal(result)
+			if err = errors.Join(err, err2, cbor.Unmarshal(x, &gotRequest), cbor.Unmarshal(y, &gotResult)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("terse", func(b *testing.B) {
+		var strings terse.Learner
+		var memory terse.Memory
+		for b.Loop() {
+			w := encodeTerseRequest(&request, &strings)
+			_, err := decodeTerseRequest(w.Bytes(), &memory)
+			strings.Confirm(w)
+			_, _, err2 := decodeTerseResult(encodeTerseResult(&result, load))
+			if err = errors.Join(err, err2); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/serve/terse.go
+++ b/serve/terse.go
@@ -38,8 +38,8 @@
 // pacePrecision is the unit of the pace in a terse result.
 const pacePrecision = 0.01
 
-func encodeTerseRequest(m *forwardedRequest) []byte {
-	var w terse.Writer
+func encodeTerseRequest(m *forwardedRequest, l *terse.Learner) *terse.Writer {
+	w := terse.NewWriter(l)
 	bits := uint64(0)
 	if m.Key >= 0 {
 		bits |= terseKeyed
@@ -48,8 +48,11 @@
 		bits |= terseIdempotent
 	}
 	w.Uint(bits)
-	for _, s := range []string{m.ID, m.Method, m.Host, m.Path, m.Origin, m.Service, m.Class} {
-		w.String(s)
+	w.String(m.ID)
+	w.String(m.Method)
+	w.String(m.Path)
+	for _, s := range []string{m.Host, m.Origin, m.Service, m.Class} {
+		w.Recurring(s)
 	}
 	if m.Key >= 0 {
 		w.Uint(uint64(m.Key))
@@ -58,15 +61,15 @@
 	w.Int(m.Remaining)
 	w.Header(m.Header)
 	w.Rest(m.Body)
-	return w.Bytes()
+	return w
 }
 
-func decodeTerseRequest(b []byte) (forwardedRequest, error) {
-	r := terse.NewReader(b)
+func decodeTerseRequest(b []byte, memory *terse.Memory) (forwardedRequest, error) {
+	r := terse.NewReader(b).With(memory)
 	m := forwardedRequest{Key: -1}
 	bits := r.Uint()
 	m.Idempotent = bits&terseIdempotent != 0
-	for _, s := range []*string{&m.ID, &m.Method, &m.Host, &m.Path, &m.Origin, &m.Service, &m.Class} {
+	for _, s := range []*string{&m.ID, &m.Method, &m.Path, &m.Host, &m.Origin, &m.Service, &m.Class} {
 		*s = r.String()
 	}
 	if bits&terseKeyed != 0 {
@@ -120,13 +123,15 @@
 // exchange sends a request to the node of its target, in the shortest form that the node
 // accepts, and takes in what the node says of the target.
 func (r *Router) exchange(ctx context.Context, j *job, m fleet.Member, msg forwardedRequest) (forwardedResult, error) {
-	inTerse := false
+	var strings *terse.Learner
+	var written *terse.Writer // nil in the long form
 	path := r.latencies.PathTo(m.DataCentre, m.Region)
 	begin := r.cfg.Clock.Elapsed()
-	reply, err := r.cfg.Peers.Exchange(ctx, m.Address, func(accepted peer.Features) (peer.Method, []byte, error) {
+	reply, err := r.cfg.Peers.Exchange(ctx, m.Address, func(to peer.Remote) (peer.Method, []byte, error) {
 		method, body, err := MethodServe, []byte(nil), error(nil)
-		if inTerse = accepted&acceptsTerse != 0; inTerse {
-			method, body = MethodServeTerse, encodeTerseRequest(&msg)
+		if to.Accepted&acceptsTerse != 0 {
+			strings, written = to.Strings, encodeTerseRequest(&msg, to.Strings)
+			method, body = MethodServeTerse, written.Bytes()
 		} else {
 			body, err = cbor.Marshal(msg)
 		}
@@ -139,7 +144,8 @@
 	r.exchanged[path].Add(int64(len(reply)))
 	var res forwardedResult
 	var l forwardedLoad
-	if inTerse {
+	if written != nil {
+		strings.Confirm(written)
 		res, l, err = decodeTerseResult(reply)
 	} else {
 		err = cbor.Unmarshal(reply, &res)
@@ -159,7 +165,7 @@
 // handleServeTerse handles MethodServeTerse.
 func (r *Router) handleServeTerse(ctx context.Context, body []byte) ([]byte, error) {
 	begin := r.cfg.Clock.Elapsed()
-	msg, err := decodeTerseRequest(body)
+	msg, err := decodeTerseRequest(body, peer.Memory(ctx))
 	if err != nil {
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
--- a/serve/uneven_test.go
+++ b/serve/uneven_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"net/http"
 	"testing"
+	"time"
 
 	"burdocklift/peer"
 	"burdocklift/proto"
 	"burdocklift/serve"
 )
 
+// pongTime is longer than the first pong of a connection takes.
+const pongTime = 10 * time.Millisecond
+
 // Guards against a choice by expected time where targets do not name their pace, and against
 // one by own counts where they do.
 func TestChoiceByPace(t *testing.T) {
@@ -20,6 +24,7 @@
 					return serve.Response{Status: 200, Header: header}, nil
 				}
 				for _, entry := range []string{"a1", "a1", "b1", "b1"} {
+					time.Sleep(pongTime)
 					assertResult(t, s.routers[entry].Serve(context.Background(), newRequest("1", "read")), proto.Answered, serve.ReasonAnswered)
 				}
 				for node, r := range s.routers {
@@ -58,6 +63,7 @@
 			}
 			runInSiteWith(t, change, func(t *testing.T, s *site) {
 				for range 3 {
+					time.Sleep(pongTime)
 					assertResult(t, s.routers["a1"].Serve(context.Background(), newRequest("1", "read")), proto.Answered, serve.ReasonAnswered)
 				}
 				if (sent == 0) != c.older {
--- a/terse/dictionary.go
+++ b/terse/dictionary.go
@@ -61,6 +61,9 @@
 	"identity", "gzip", "keep-alive", "close", "no-cache", "*/*", "application/json", "text/plain",
 }
 
+// recurring are the names of header fields whose values are likely to recur on a connection.
+var recurring = map[string]bool{"Accept": true, "Accept-Language": true, "Content-Type": true, "User-Agent": true}
+
 var (
 	fieldIndex = indexOf(fields)
 	knownIndex = indexOf(known)
--- a/terse/terse.go
+++ b/terse/terse.go
@@ -29,6 +29,7 @@
 	formDecimal        // the decimal number that the string shows
 	formSplit          // length of a literal, its bytes, then another string that follows it
 	formDate           // the Unix time that the string shows as an HTTP date
+	formLearned        // number of a string of the connection, or its definition
 	formBits    = 3
 )
 
@@ -42,7 +43,14 @@
 )
 
 // Writer appends the parts of a message to a buffer. The zero value is empty.
-type Writer struct{ buf []byte }
+type Writer struct {
+	buf     []byte
+	learner *Learner // nil without recurring strings
+	defined []int    // numbers that the message defines
+}
+
+// NewWriter returns a writer for a connection.
+func NewWriter(l *Learner) *Writer { return &Writer{learner: l} }
 
 // Bytes returns the message.
 func (w *Writer) Bytes() []byte { return w.buf }
@@ -144,7 +152,11 @@
 		w.Uint(uint64(i + 1))
 	} else {
 		w.Uint(0)
-		w.String(name)
+		w.Recurring(name)
+	}
+	if recurring[name] {
+		w.Recurring(value)
+		return
 	}
 	w.String(value)
 }
@@ -152,13 +164,20 @@
 // Reader reads the parts of a message in the order in which they were written. After an
 // error, which Err returns, all parts are empty.
 type Reader struct {
-	buf []byte
-	err error
+	buf    []byte
+	err    error
+	memory *Memory // nil without recurring strings
 }
 
 // NewReader returns a reader of a message.
 func NewReader(b []byte) *Reader { return &Reader{buf: b} }
 
+// With sets the memory of the connection.
+func (r *Reader) With(m *Memory) *Reader {
+	r.memory = m
+	return r
+}
+
 // Err returns the first error.
 func (r *Reader) Err() error { return r.err }
 
@@ -235,6 +254,10 @@
 		if n < 1<<40 {
 			return time.Unix(int64(n), 0).UTC().Format(http.TimeFormat)
 		}
+	case formLearned:
+		if s, ok := r.learned(n); ok {
+			return s
+		}
 	case formSplit:
 		if depth > 0 {
 			head := string(r.take(n))
--- a/terse/terse_test.go
+++ b/terse/terse_test.go
@@ -56,7 +56,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
 	f.Add([]byte{5, 5, 5, 5})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r := terse.NewReader(b)
+		r := terse.NewReader(b).With(new(terse.Memory))
 		s, h := r.String(), r.Header()
 		if r.Err() != nil {
 			if !errors.Is(r.Err(), terse.ErrInvalid) {
