--- a/pick/expect.go
+++ b/pick/expect.go
@@ -129,11 +129,14 @@
 	e := newEstimate(now, class, opts)
 	var best option
 	least := math.Inf(1) // expected time of the best option on nearer paths, drawn or not
-	for path := SameDataCentre; path < PathCount; path++ {
-		group := p.group(opts, candidates, path)
-		if len(group) == 0 {
-			continue
+	for len(opts) > 0 {
+		var group []option
+		group, opts = cutNearest(opts)
+		path := Path(group[0].distance) + SameDataCentre
+		if best.target != nil && least < e.fastest+2*pathCost[path]*leastLatency(path).Seconds() {
+			continue // it can't gain enough
 		}
+		p.place(group, candidates)
 		e.assess(group)
 		o := p.betterOfTwo(e, group)
 		if best.target == nil || o.outlook.time()+pathCost[path]*o.outlook.latency < least {
@@ -157,21 +160,24 @@
 	return pathOf(p.config.DataCentre, p.config.Region, c.DataCentre, c.Region)
 }
 
-// group returns the options on a path, with their latency. The one on this host counts as as
-// near as those in the data centre.
-func (p *Picker) group(opts []option, candidates []Candidate, path Path) []option {
-	var group []option
-	for _, o := range opts {
-		c := candidates[o.index]
-		if to := p.pathTo(c); max(to, SameDataCentre) == path {
-			o.outlook = outlook{
-				slots: float64(max(c.Slots, 1)), local: c.Local,
-				latency: 2 * p.config.Latencies.OneWay(c.DataCentre, to).Seconds(),
-			}
-			group = append(group, o)
+// cutNearest cuts sorted options after those at the least distance.
+func cutNearest(opts []option) (nearest, rest []option) {
+	n := 1
+	for n < len(opts) && opts[n].distance == opts[0].distance {
+		n++
+	}
+	return opts[:n], opts[n:]
+}
+
+// place sets what the outlooks of options owe to their places.
+func (p *Picker) place(group []option, candidates []Candidate) {
+	for i := range group {
+		c := candidates[group[i].index]
+		group[i].outlook = outlook{
+			slots: float64(max(c.Slots, 1)), local: c.Local,
+			latency: 2 * p.config.Latencies.OneWay(c.DataCentre, p.pathTo(c)).Seconds(),
 		}
 	}
-	return group
 }
 
 // betterOfTwo draws two options at random, weighted by the requests that they run in a
@@ -243,6 +249,8 @@
 	name  string  // of the class
 	class float64 // service time of the class
 	mean  float64 // service time over all classes
+	// fastest is the least service time of the class at any target that is known, 0 if none is.
+	fastest float64
 }
 
 func newEstimate(now time.Time, class string, opts []option) *estimate {
@@ -251,6 +259,9 @@
 	for _, o := range opts {
 		r := &o.target.report
 		if t, ok := r.times[class]; ok {
+			if e.class == 0 || t.Seconds() < e.fastest {
+				e.fastest = t.Seconds()
+			}
 			e.class += t.Seconds()
 			times++
 		}
--- a/pick/path.go
+++ b/pick/path.go
@@ -34,6 +34,9 @@
 	maxPathEntries = 64
 )
 
+// leastLatency returns a latency below which none is taken for that of a path.
+func leastLatency(p Path) time.Duration { return defaultLatency[p] / latencyRange }
+
 // pathOf returns the path between two places on different hosts.
 func pathOf(dataCentre, region, otherCentre, otherRegion string) Path {
 	switch {
@@ -68,7 +71,7 @@
 // together.
 func (l *Latencies) Observe(dataCentre, region string, bothWays time.Duration) {
 	p := l.PathTo(dataCentre, region)
-	sample := min(max(bothWays/2, defaultLatency[p]/latencyRange), defaultLatency[p]*latencyRange)
+	sample := min(max(bothWays/2, leastLatency(p)), defaultLatency[p]*latencyRange)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, ok := l.oneWay[dataCentre]
