--- a/pick/expect.go
+++ b/pick/expect.go
@@ -303,7 +303,7 @@
 func (e *estimate) assessOne(o *option, load float64) {
 	r, out := &o.target.report, &o.outlook
 	if r.load.Limit > 0 {
-		out.slots = float64(r.load.Limit)
+		out.slots = min(out.slots, float64(r.load.Limit)) // a cold target counts with fewer
 	}
 	out.class, out.mean = e.class, e.mean
 	if r.mean > 0 {
@@ -313,7 +313,7 @@
 		out.class = t.Seconds()
 	}
 	w := r.weight(e.now, reportLifetime)
-	out.ahead = (w*r.load.ratio()+(1-w)*load)*out.slots + float64(r.since)
+	out.ahead = w*float64(r.load.Running+r.load.Waiting) + (1-w)*load*out.slots + float64(r.since)
 	out.ahead = max(out.ahead, float64(o.target.inFlight))
 	if e.now.Before(o.target.busyUntil) {
 		out.ahead = max(out.ahead, out.slots)
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -10,6 +10,7 @@
 
 	"burdocklift/fleet"
 	"burdocklift/pick"
+	"burdocklift/place"
 	"burdocklift/proto"
 	"burdocklift/retry"
 	"burdocklift/rules"
@@ -66,7 +67,7 @@
 }
 
 func (r *Router) newJob(req *Request, route *rules.Route, set *rules.Set, begin time.Duration) *job {
-	j := &job{request: req, class: route.Name, urgency: route.Urgency, idempotent: route.Idempotent, deadline: begin + maxRequestTime}
+	j := &job{request: req, class: route.Name, urgency: route.Urgency, idempotent: route.Idempotent, regions: route.Regions, deadline: begin + maxRequestTime}
 	if route.Timeout > 0 {
 		j.deadline = min(j.deadline, begin+route.Timeout)
 	}
@@ -163,6 +164,9 @@
 		v := r.cfg.Fleet.View()
 		_, m, ok := v.Owner(j.service, j.request.Key)
 		if !ok {
+			if res = r.refuseUnplaced(v, j, r.cfg.Clock.Elapsed()); res.Reason != ReasonNoTarget {
+				return res
+			}
 			return notRun(ReasonNoOwner, notReadyRetryAfter)
 		}
 		res = r.sendTo(ctx, j, m)
@@ -184,10 +188,11 @@
 	v := r.cfg.Fleet.View()
 	picker := r.picker(j.service)
 	var candidates []pick.Candidate
+	work, now := r.work(v, j), r.cfg.Clock.Elapsed()
 	v.Members(func(m fleet.Member) {
-		if m.Serves(j.service) && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
+		if m.Serves(j.service) && v.Policy().Check(work, m.Place(), now) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
 			candidates = append(candidates, pick.Candidate{
-				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: m.Target.Slots,
+				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: r.slotsFor(v, m),
 				Local: m.Name == r.cfg.Name,
 			})
 		}
@@ -197,6 +202,9 @@
 	if rest := slices.DeleteFunc(slices.Clone(candidates), tried); len(rest) > 0 {
 		candidates = rest
 	}
+	if len(candidates) == 0 {
+		return r.refuseUnplaced(v, j, now)
+	}
 	res := notRun(ReasonNoTarget, notReadyRetryAfter)
 	for number := range min(maxNodesTried, len(candidates)) {
 		options := candidates
@@ -212,7 +220,7 @@
 		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
 		picker.Done(c, pick.Result{
 			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
-			Abandoned: res.Reason == ReasonCallerGone,
+			Abandoned: res.Reason == ReasonCallerGone || refusedByPlace(res),
 		})
 		if res.Sends > 0 {
 			j.triedNodes = append(j.triedNodes, c.Name)
@@ -226,6 +234,7 @@
 				break
 			}
 		}
+		candidates = r.skipCold(v, m, res.Reason, candidates)
 	}
 	return res
 }
@@ -234,15 +243,20 @@
 // request should go there first, else -1: a large answer of another target takes the
 // links of two hosts.
 func (r *Router) localIndex(j *job, candidates []pick.Candidate) int {
-	if r.sizes.large(j.class) == 0 {
+	if r.sizes.large(j.class) == 0 || r.coldLimit().Pace > 0 {
 		return -1
 	}
 	return slices.IndexFunc(candidates, func(c pick.Candidate) bool { return c.Name == r.cfg.Name })
 }
 
 func (r *Router) sendTo(ctx context.Context, j *job, m fleet.Member) Result {
-	if m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), r.cfg.Clock.Elapsed()) {
-		return notRun(ReasonNoTarget, ownerRetryAfter)
+	v, now := r.cfg.Fleet.View(), r.cfg.Clock.Elapsed()
+	t := m.Place()
+	t.Draining = m.Target != nil && r.leaving.over(m.Target.Incarnation, r.drainLimit(), now)
+	w := r.work(v, j)
+	w.Bound = j.keyed
+	if res, refused := r.refusePlace(j, v.Policy().Check(w, t, now), now); refused {
+		return res
 	}
 	if m.Name == r.cfg.Name {
 		if j.keyed {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"burdocklift/clock"
 	"burdocklift/fleet"
+	"burdocklift/nested"
 	"burdocklift/peer"
 	"burdocklift/pick"
 	"burdocklift/poison"
@@ -116,8 +117,10 @@
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
 	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
 	ReasonTimeout         Reason = "timeout"
-	ReasonCallerGone      Reason = "gone"     // the caller disconnected
-	ReasonStopping        Reason = "stopping" // the target's node stops
+	ReasonCallerGone      Reason = "gone"      // the caller disconnected
+	ReasonStopping        Reason = "stopping"  // the target's node stops
+	ReasonRegion          Reason = "region"    // no target in the regions of the route
+	ReasonEvacuated       Reason = "evacuated" // only targets of evacuated data centres may run the request
 	// ReasonQuarantined means that the request has crashed targets, or may
 	// have.
 	ReasonQuarantined Reason = "quarantined"
@@ -168,7 +171,8 @@
 	sizes     answerSizes
 	latencies *pick.Latencies
 	exchanged [pick.PathCount]atomic.Int64 // bytes of forwarded requests and their results, by path
-	aborted   context.Context              // cancelled when requests in flight must end at once
+	nested    nested.Detector
+	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
 	drain        atomic.Int64 // drain period, a time.Duration
@@ -186,6 +190,7 @@
 	pickers     map[string]*pick.Picker  // by service
 	retries     map[string]retryPolicies // by service
 	incarnation span.Incarnation         // of the target, for which admission control was last reset
+	evacuated   []string                 // data centres with metrics of an evacuation
 }
 
 // New returns a Router and registers its handlers.
@@ -197,6 +202,7 @@
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
+	r.admission.FollowCold(r.coldLimit, cfg.Clock.Elapsed())
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
 	cfg.Peers.Handle(MethodServeTerse, r.handleServeTerse)
@@ -212,6 +218,7 @@
 	r.stats.SetGauge("requests_running", int64(running))
 	r.stats.SetGauge("requests_waiting", int64(waiting))
 	r.stats.SetGauge("slots_limit", int64(limit))
+	r.setColdGauges()
 	overload := int64(0)
 	if r.admission.OverloadLasts() {
 		overload = 1
@@ -219,6 +226,7 @@
 	r.stats.SetGauge("overload_lasts", overload)
 	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
 	r.setUnevenGauges()
+	r.setEvacuationGauges()
 	return &r.stats
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -72,7 +72,7 @@
 }
 
 // site has two nodes with one target each: "a1" of a service with keys, "b1" of
-// one without.
+// one without. Each is in a data centre and a region of its own.
 type site struct {
 	routers map[string]*serve.Router
 	targets map[string]*fakeTarget
@@ -82,6 +82,8 @@
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
 	connect func(name string, peers *peer.Transport) // called before a node runs, if not nil
+	// coldUntil holds the time.Time up to which the target beside a node says that it is cold.
+	coldUntil sync.Map
 }
 
 func runInSite(t *testing.T, test func(t *testing.T, s *site)) {
@@ -142,19 +144,40 @@
 
 const stallTime = time.Second
 
+// regionRules returns rules of a version whose routes name regions, for example
+// "regions 2 r-a r-b".
+func regionRules(version int, regions ...string) []byte {
+	return fmt.Appendf(nil, "regions %d %s", version, strings.Join(regions, " "))
+}
+
+// coldRules are rules with a service whose cold targets tolerate 15 requests a second.
+var coldRules = []byte("cold")
+
 func decodeRules(b []byte) (*rules.Set, error) {
+	version, regions := uint64(1), []string(nil)
+	if fields := strings.Fields(string(b)); len(fields) > 1 && fields[0] == "regions" {
+		n, err := strconv.Atoi(fields[1])
+		if err != nil {
+			return nil, err
+		}
+		version, regions = uint64(n), fields[2:]
+	}
 	if bytes.Equal(b, stallingRules) {
 		time.Sleep(stallTime)
 	}
 	route := func(name, service string, idempotent bool) rules.Route {
 		return rules.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Services: []rules.WeightedService{{Service: service, Weight: 1}},
-			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Regions: regions,
 		}
 	}
-	return rules.New(1, rules.Limits{}, []rules.Route{
+	coldRate := 0.0
+	if bytes.Equal(b, coldRules) {
+		coldRate = 15
+	}
+	return rules.New(version, rules.Limits{}, []rules.Route{
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
-	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive"}})
+	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive", ColdRate: coldRate}})
 }
 
 func (s *site) start(ctx context.Context, name, service string, ledger *emul.Ledger) chan struct{} {
@@ -163,8 +186,9 @@
 	peers.SetDialer(s.net.Dialer(name))
 	log := slog.New(slog.DiscardHandler)
 	f := fleet.New(fleet.Config{
-		Name: name, Address: name, DataCentre: name, Region: "r", Store: ledger.Client(name), Peers: peers, Clock: c,
-		Log: log, RulesKey: "rules", Rules: decodeRules,
+		Name: name, Address: name, DataCentre: name, Region: "r-" + name[:1], Store: ledger.Client(name), Peers: peers, Clock: c,
+		Log: log, RulesKey: "rules", Rules: decodeRules, EvacuationPrefix: "evacuate/",
+		ColdFactor: 1.5, ColdSlack: 8,
 	})
 	target := &fakeTarget{reply: ok}
 	if s.prepare != nil {
@@ -172,7 +196,7 @@
 	}
 	s.targets[name] = target
 	s.routers[name] = serve.New(serve.Config{
-		Name: name, DataCentre: name, Region: "r", Fleet: f, Peers: peers, Target: target, Clock: c,
+		Name: name, DataCentre: name, Region: "r-" + name[:1], Fleet: f, Peers: peers, Target: target, Clock: c,
 		Log: log, RetryRatio: 1, RetrySlack: 20, DrainPeriod: 2 * time.Second,
 	})
 	if s.connect != nil {
@@ -202,6 +226,10 @@
 	b := fleet.Heartbeat{Target: fleet.Target{Incarnation: span.Incarnation{Target: name, StartedAt: 1}, Service: service, Slots: 2}}
 	for ctx.Err() == nil {
 		b.Sequence++
+		b.ColdRemaining = 0
+		if until, ok := s.coldUntil.Load(name); ok {
+			b.ColdRemaining = max(0, time.Until(until.(time.Time)))
+		}
 		select {
 		case <-s.leaving:
 			b.Leaving = service == "desk"
