--- a/serve/cold.go
+++ b/serve/cold.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"slices"
 
 	"burdocklift/fleet"
@@ -17,6 +18,18 @@
 	return triage.ColdLimit(r.cfg.Fleet.View().Cold(r.cfg.Clock.Elapsed()))
 }
 
+// forgetColdness makes the local target count as cold after a crash, as it may have restarted
+// under the same id.
+func (r *Router) forgetColdness(ctx context.Context, service string) {
+	if set := r.cfg.Fleet.View().Rules(); set != nil {
+		if s, _ := set.Service(service); s.ColdRate == 0 {
+			return
+		}
+	}
+	// An error means that the fleet's control loop, and with it the node, has ended.
+	_ = r.cfg.Fleet.ForgetColdness(context.WithoutCancel(ctx))
+}
+
 // slotsFor returns the number of slots with which a target counts when one is chosen.
 func (r *Router) slotsFor(v *fleet.View, m fleet.Member) int {
 	if r.isCold(v, m) {
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -58,9 +58,7 @@
 			slog.Int("nodes", known.Nodes), slog.Int64("age_ms", known.Age.Milliseconds()))
 	}
 	if crashed {
-		// It may have restarted under the same id. An error means that the fleet's control loop,
-		// and with it the node, has ended.
-		_ = r.cfg.Fleet.ForgetColdness(context.WithoutCancel(ctx))
+		r.forgetColdness(ctx, t.Service)
 	}
 	// A target that listens may still hold keys, so it is not marked as ended.
 	if crashed && r.cfg.Target.NotListening() {
