--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklift/place"
 	"burdocklift/span"
 	"burdocklift/store"
 )
@@ -32,6 +33,7 @@
 	runsSeen   map[string]firstSighting
 	firstSeen  map[string]time.Duration // by service, when a target was first seen
 	lostLogged map[string]bool
+	keptLogged map[string]bool // services whose keys stay in evacuated data centres
 
 	balanceAt    time.Duration // time at which the load is balanced next
 	serviceRates map[string]serviceRate
@@ -117,6 +119,7 @@
 	p.runsSeen = make(map[string]firstSighting)
 	p.firstSeen = make(map[string]time.Duration)
 	p.lostLogged = make(map[string]bool)
+	p.keptLogged = make(map[string]bool)
 	p.serviceRates = make(map[string]serviceRate)
 	p.wasStopping = make(map[string]bool)
 }
@@ -279,10 +282,12 @@
 		}
 		delete(p.lostLogged, v.Name)
 		owners = append(owners, span.Owner{
-			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean, coldRate), Leaving: v.Target.Leaving, Stopping: v.Stopping,
+			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean, coldRate), Stopping: v.Stopping,
+			Leaving: f.policy.CheckOwner(service, v.Place()) != place.Allowed,
 			Suspect: v.Name != f.cfg.Name && !p.isAlive(v.Name, now),
 		})
 	})
+	f.leaveEvacuated(service, owners)
 	isStopping := func(o span.Owner) bool { return o.Stopping }
 	if slices.ContainsFunc(owners, isStopping) && span.HasHeadroom(owners, p.load.Total(now)) {
 		for i := range owners {
