nested, triage: a class keeps its order when it is taken for nested calls

All that wait take the rank of the newest request of their class, and a class is compared with at least 100 others.

--- a/nested/nested.go
+++ b/nested/nested.go
@@ -19,6 +19,9 @@
 	// halfLife is the time after which an observation counts half, so that new rules and
 	// other uses of a route take effect.
 	halfLife = 10 * time.Second
+	// minCompared is how many recent requests of other classes the shares are taken from at
+	// least: with a few, chance decides.
+	minCompared = 100
 	// maxClasses bounds the classes that are remembered; when it is reached, all are forgotten.
 	maxClasses = 1024
 )
@@ -93,7 +96,7 @@
 			same += c.origins[origin]
 		}
 	}
-	if total == 0 {
+	if total < minCompared {
 		return false
 	}
 	return math.Pow(same/total, count) < falseShare
--- a/triage/nested_test.go
+++ b/triage/nested_test.go
@@ -21,6 +21,29 @@
 	{"unmarked", -1, 0.3, 22 * time.Millisecond, 250 * time.Millisecond, 0},
 }
 
+// Guards against requests that overtake others of their class once that is taken for nested
+// calls: those that were let in first would start last, or too late.
+func TestRankOfClass(t *testing.T) {
+	l := &Limiter{}
+	l.SetSlots(1)
+	request := Request{Class: "pay", Deadline: time.Minute}
+	if w, err := l.Acquire(request, 0); w != nil || err != nil {
+		t.Fatalf("first request: waiter %v, error %v", w, err)
+	}
+	first, _ := l.Acquire(request, 0)
+	request.Nested = true
+	second, _ := l.Acquire(request, 0)
+	l.Release("pay", time.Second, true, time.Second)
+	select {
+	case err := <-first.Done():
+		if err != nil {
+			t.Errorf("first waiting request is refused: %v", err)
+		}
+	case <-second.Done():
+		t.Error("second waiting request starts first")
+	}
+}
+
 // Guards against nested calls that are refused for new requests under overload: each fails a
 // request that has run for most of its time already.
 func TestNestedCalls(t *testing.T) {
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -122,6 +122,7 @@
 		}
 		r.Deadline -= tail
 	}
+	l.followRank(r)
 	l.slotLoad.add(r.Urgency, t.mean.Seconds(), left, now)
 	l.startLoad.add(r.Urgency, 1, left, now)
 	if free && l.takeStart(now) {
@@ -144,6 +145,16 @@
 	return w, nil
 }
 
+// followRank gives those that wait the rank of a new request of their class. Else a class that
+// has just been recognized as nested calls would overtake itself.
+func (l *Limiter) followRank(r Request) {
+	for _, w := range l.queue {
+		if w.request.Class == r.Class {
+			w.request.Nested = r.Nested
+		}
+	}
+}
+
 // queueTooLong records that a request was refused because of those ahead of it.
 func (l *Limiter) queueTooLong(urgency int, now time.Duration) {
 	l.slotLoad.queueTooLong(urgency, float64(l.limit), now)
