--- a/peer/conn.go
+++ b/peer/conn.go
@@ -12,6 +12,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"burdocklift/terse"
 	"burdocklift/uplink"
 )
 
@@ -20,6 +21,8 @@
 	raw        net.Conn
 	transport  *Transport
 	tomb       tomb.Tomb
+	learner    terse.Learner // strings in calls of this side
+	memory     terse.Memory  // strings in calls of the other side
 	writeToken chan struct{} // holds a token while a frame is written
 
 	mu           sync.Mutex
@@ -30,6 +33,7 @@
 	lastSent     time.Duration                 // time of the last frame to the other side
 	pongPending  bool                          // a ping has not been answered yet
 	sendsParts   bool                          // the other side accepts replies in parts
+	accepted     Features                      // of the other side, once it has answered the first ping
 }
 
 // pendingCall is a call without a complete reply.
@@ -229,7 +233,7 @@
 func (c *conn) handle(f frame) {
 	switch f.kind {
 	case frameCall:
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(context.WithValue(context.Background(), memoryKey{}, &c.memory))
 		c.mu.Lock()
 		c.cancels[f.stream] = cancel
 		c.mu.Unlock()
@@ -251,6 +255,10 @@
 		if cancel != nil {
 			cancel()
 		}
+	case framePong:
+		c.mu.Lock()
+		c.accepted = Features(f.method)
+		c.mu.Unlock()
 	case framePing:
 		if f.method&acceptsParts != 0 {
 			c.mu.Lock()
@@ -286,7 +294,7 @@
 	}
 	c.pongPending = true
 	c.tomb.Go(func() error {
-		_ = c.send(context.Background(), frame{kind: framePong}) // a failure closes the connection
+		_ = c.send(context.Background(), frame{kind: framePong, method: Method(c.transport.features)}) // a failure closes the connection
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.pongPending = false
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -76,6 +76,7 @@
 	startLoad    load                   // in starts
 	linkLoad     load                   // in seconds of the link
 	starts       bucket
+	pace         pace
 	cold         coldWindow
 	slotReturns  map[int]time.Duration // by urgency, when the last refused caller was told to return
 	returns      time.Duration         // when the last caller that the rate refused was told to return
@@ -121,6 +122,7 @@
 		}
 		r.Deadline -= tail
 	}
+	l.followRank(r)
 	l.slotLoad.add(r.Urgency, t.mean.Seconds(), left, now)
 	l.startLoad.add(r.Urgency, 1, left, now)
 	if free && l.takeStart(now) {
@@ -143,6 +145,16 @@
 	return w, nil
 }
 
+// followRank gives those that wait the rank of a new request of their class. Else a class that
+// has just been recognized as nested calls would overtake itself.
+func (l *Limiter) followRank(r Request) {
+	for _, w := range l.queue {
+		if w.request.Class == r.Class {
+			w.request.Nested = r.Nested
+		}
+	}
+}
+
 // queueTooLong records that a request was refused because of those ahead of it.
 func (l *Limiter) queueTooLong(urgency int, now time.Duration) {
 	l.slotLoad.queueTooLong(urgency, float64(l.limit), now)
@@ -200,6 +212,14 @@
 
 // Release returns a slot. A success updates the service time of the class.
 func (l *Limiter) Release(class string, took time.Duration, success bool, now time.Duration) {
+	l.ReleaseAtPace(class, took, took, success, now)
+}
+
+// ReleaseAtPace is Release for a target that names its pace. The mean service time of the
+// class goes by the time that the request would have taken at the lasting pace, so that a
+// short slowdown does not refuse what can end; the bound goes by what it took, as the next
+// request may meet a slowdown too.
+func (l *Limiter) ReleaseAtPace(class string, took, lasting time.Duration, success bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
@@ -207,7 +227,7 @@
 		if l.times == nil {
 			l.times = make(map[string]serviceTime)
 		}
-		l.times[class] = l.times[class].observe(took, now)
+		l.times[class] = l.times[class].observe(took, now).correct(lasting - took)
 	}
 	l.dispatch(now)
 }
