--- a/place/place_test.go
+++ b/place/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"burdocklift/rules"
 )
@@ -47,6 +48,42 @@
 	}
 }
 
+// Guards against work that reaches an evacuated data centre: work that can go elsewhere at any
+// time, all other from the closing time on; and against evacuations that reach other data centres
+// or outlast their end.
+func TestEvacuations(t *testing.T) {
+	const closes = 10 * time.Second
+	began := newPolicy(t, rules.Route{Name: "1", Services: to("desk", 1), Regions: []string{"a"}}).
+		WithEvacuations(map[string]Evacuation{"a1": {ClosesAt: closes}})
+	for _, c := range []struct {
+		name   string
+		work   Work
+		target Target
+		at     time.Duration
+		want   Denial
+	}{
+		{"free work", Work{}, Target{"a1", "a", false}, 0, Evacuated},
+		{"bound work before the end", Work{Bound: true}, Target{"a1", "a", false}, closes - 1, Allowed},
+		{"bound work", Work{Bound: true}, Target{"a1", "a", false}, closes, Evacuated},
+		{"bound work at a leaving target", Work{Bound: true}, Target{"a1", "a", true}, closes - 1, Draining},
+		{"other data centre of the region", Work{}, Target{"a2", "a", false}, closes, Allowed},
+		{"other region", Work{Regions: []string{"b"}}, Target{"a1", "a", false}, closes, Region},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := began.Check(c.work, c.target, c.at); got != c.want {
+				t.Errorf("denial is %d, want %d", got, c.want)
+			}
+			ended := began.WithEvacuations(nil).Check(c.work, c.target, c.at)
+			if want := began.CheckOwner("none", c.target); c.want != Region && ended != want {
+				t.Errorf("denial is %d after the end, want %d", ended, want)
+			}
+		})
+	}
+	if began.CheckOwner("desk", Target{DataCentre: "a1", Region: "a"}) != Allowed || began.CheckOwner("desk", Target{Region: "b"}) != Region {
+		t.Error("an evacuation changes the regions of owners")
+	}
+}
+
 // Guards against owners of keys where one of the routes to their service may not run, and
 // against keys without any owner because the routes have no region in common.
 func TestCheckOwner(t *testing.T) {
