--- a/cmds/agent_test.go
+++ b/cmds/agent_test.go
@@ -44,6 +44,13 @@
 // startStore starts the platform's store with rules for the services "archive" and
 // "desk", and returns its address.
 func startStore(t *testing.T) string {
+	t.Helper()
+	_, address := startLedger(t)
+	return address
+}
+
+// startLedger is startStore for tests that change records.
+func startLedger(t *testing.T) (*emul.Ledger, string) {
 	t.Helper()
 	ledger := emul.NewLedger(time.Millisecond)
 	t.Cleanup(ledger.Close)
@@ -57,7 +64,7 @@
 	store := &http.Server{Handler: stand.Store(ledger.Client("test")), ReadHeaderTimeout: time.Second}
 	go func() { _ = store.Serve(l) }() // ends with Close
 	t.Cleanup(func() { _ = store.Close() })
-	return l.Addr().String()
+	return ledger, l.Addr().String()
 }
 
 // newAgent writes the settings of a node.
@@ -121,14 +128,20 @@
 
 // awaitServing waits until the node serves callers.
 func (a *agentProcess) awaitServing(t *testing.T) {
+	t.Helper()
+	a.await(t, func(resp stand.Response) bool { return resp.Status == http.StatusOK })
+}
+
+// await sends requests until the node answers one as wanted.
+func (a *agentProcess) await(t *testing.T, wanted func(stand.Response) bool) {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		resp, err := a.send(t, "/read/1", fmt.Sprint(time.Now().UnixNano()))
-		if err == nil && resp.Status == http.StatusOK {
+		if err == nil && wanted(resp) {
 			return
 		}
 		if time.Now().After(deadline) {
-			t.Fatalf("node %s does not serve: status %d, %v", a.name, resp.Status, err)
+			t.Fatalf("node %s answers otherwise: status %d, body %q, %v", a.name, resp.Status, resp.Body, err)
 		}
 	}
 }
