--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,6 +52,9 @@
 	// EvacuationTime is the time from the store's acknowledgement of such a record until no
 	// request reaches targets of the data centre; zero for defaultEvacuationTime.
 	EvacuationTime time.Duration
+	// A cold target gets the rate that its service tolerates times ColdFactor, and at most
+	// ColdSlack requests more in any second.
+	ColdFactor, ColdSlack float64
 }
 
 // Fleet is a node's membership in its site. One goroutine owns its state and publishes
@@ -93,7 +96,6 @@
 	restarted      bool                  // an earlier run of this node has written its record
 	rules          *rules.Set
 	policy         *place.Policy // of the rules and evacuations
-	evacuationEnd  time.Duration // when an evacuation of this data centre last ended
 	knownRev       uint64        // revision up to which all records are known
 	freshness      freshness
 	election       election
@@ -267,8 +269,9 @@
 
 func (f *Fleet) publish() {
 	v := &View{
-		rules: f.rules, policy: f.policy, evacuationEnd: f.evacuationEnd, members: f.members, ranges: f.ranges, local: f.local,
+		rules: f.rules, policy: f.policy, members: f.members, ranges: f.ranges, local: f.local,
 		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
+		coldFactor: f.cfg.ColdFactor, coldSlack: f.cfg.ColdSlack,
 	}
 	old := f.view.Load()
 	if old != nil && sameNames(old.order, f.members) {
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -51,6 +51,7 @@
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		a.Limit, a.Limited = limit, true
 	}
+	a.Pace, _ = strconv.ParseFloat(h.Get("Pace"), 64) // 0 without the header
 	return a
 }
 
@@ -80,9 +81,18 @@
 	ledger  *emul.Ledger
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
+	connect func(name string, peers *peer.Transport) // called before a node runs, if not nil
+	// coldUntil holds the time.Time up to which the target beside a node says that it is cold.
+	coldUntil sync.Map
 }
 
 func runInSite(t *testing.T, test func(t *testing.T, s *site)) {
+	t.Helper()
+	runInSiteWith(t, func(*site) {}, test)
+}
+
+// runInSiteWith changes a site before its nodes start.
+func runInSiteWith(t *testing.T, change func(s *site), test func(t *testing.T, s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -90,6 +100,7 @@
 			routers: make(map[string]*serve.Router), targets: make(map[string]*fakeTarget),
 			leaving: make(chan struct{}), net: emul.NewNet(), stops: make(map[string]func()),
 		}
+		change(s)
 		ledger := emul.NewLedger(time.Millisecond)
 		ledger.Put("rules", nil)
 		s.ledger = ledger
@@ -139,6 +150,9 @@
 	return fmt.Appendf(nil, "regions %d %s", version, strings.Join(regions, " "))
 }
 
+// coldRules are rules with a service whose cold targets tolerate 15 requests a second.
+var coldRules = []byte("cold")
+
 func decodeRules(b []byte) (*rules.Set, error) {
 	version, regions := uint64(1), []string(nil)
 	if fields := strings.Fields(string(b)); len(fields) > 1 && fields[0] == "regions" {
@@ -157,9 +171,13 @@
 			Idempotent: idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Regions: regions,
 		}
 	}
+	coldRate := 0.0
+	if bytes.Equal(b, coldRules) {
+		coldRate = 15
+	}
 	return rules.New(version, rules.Limits{}, []rules.Route{
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
-	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive"}})
+	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive", ColdRate: coldRate}})
 }
 
 func (s *site) start(ctx context.Context, name, service string, ledger *emul.Ledger) chan struct{} {
@@ -170,6 +188,7 @@
 	f := fleet.New(fleet.Config{
 		Name: name, Address: name, DataCentre: name, Region: "r-" + name[:1], Store: ledger.Client(name), Peers: peers, Clock: c,
 		Log: log, RulesKey: "rules", Rules: decodeRules, EvacuationPrefix: "evacuate/",
+		ColdFactor: 1.5, ColdSlack: 8,
 	})
 	target := &fakeTarget{reply: ok}
 	if s.prepare != nil {
@@ -180,6 +199,9 @@
 		Name: name, DataCentre: name, Region: "r-" + name[:1], Fleet: f, Peers: peers, Target: target, Clock: c,
 		Log: log, RetryRatio: 1, RetrySlack: 20, DrainPeriod: 2 * time.Second,
 	})
+	if s.connect != nil {
+		s.connect(name, peers)
+	}
 	l := s.net.Listen(name)
 	ended := make(chan struct{}, 3)
 	go func() { _ = peers.Run(ctx, l); ended <- struct{}{} }()
@@ -204,6 +226,10 @@
 	b := fleet.Heartbeat{Target: fleet.Target{Incarnation: span.Incarnation{Target: name, StartedAt: 1}, Service: service, Slots: 2}}
 	for ctx.Err() == nil {
 		b.Sequence++
+		b.ColdRemaining = 0
+		if until, ok := s.coldUntil.Load(name); ok {
+			b.ColdRemaining = max(0, time.Until(until.(time.Time)))
+		}
 		select {
 		case <-s.leaving:
 			b.Leaving = service == "desk"
