--- a/fleet/view.go
+++ b/fleet/view.go
@@ -26,6 +26,16 @@
 // Rules returns the rules in force, or nil if none are known yet.
 func (v *View) Rules() *rules.Set { return v.rules }
 
+// MayHaveKeys reports whether a service has keys that targets own, as far as the rules are known.
+func (v *View) MayHaveKeys(service string) bool {
+	if v.rules == nil {
+		return true
+	}
+	_, owned := v.ranges[service]
+	s, _ := v.rules.Service(service)
+	return owned || s.Sharded
+}
+
 // Policy returns what restricts the placement of work.
 func (v *View) Policy() *place.Policy { return v.policy }
 
