store, platform, relay, emul: replies carry the era of the store

Cause: a store restored from an older copy gives its revisions out again, and nothing showed that to its callers. The emulated ledger can be restored.

--- a/emul/ledger.go
+++ b/emul/ledger.go
@@ -20,6 +20,8 @@
 	oldest  uint64 // history before this revision is gone
 	history []store.Item
 	leases  map[uint64]bool
+	log     []logEntry // all changes, for Restore
+	era     uint64     // 0 as long as the store names none
 	changed chan struct{}
 	faults  LedgerFaults
 	timers  []*time.Timer  // of writes that take effect later
@@ -27,6 +29,56 @@
 	read    map[string]int // bytes of values that were read, by key
 }
 
+// logEntry is a change of a record, or the begin or end of a lease.
+type logEntry struct {
+	at    time.Time
+	rev   uint64
+	item  store.Item
+	lease uint64 // 0 for a record
+	ended bool
+}
+
+// SetEra makes the ledger name an era in all replies.
+func (l *Ledger) SetEra(era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era = era
+}
+
+// Restore replaces the content, leases included, by that of some time ago and begins the
+// next era. Revisions are given out again.
+func (l *Ledger) Restore(back time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until := time.Now().Add(-back)
+	kept := slices.IndexFunc(l.log, func(e logEntry) bool { return e.at.After(until) })
+	if kept >= 0 {
+		l.log = l.log[:kept]
+	}
+	clear(l.items)
+	clear(l.leases)
+	l.rev, l.history, l.oldest = 1, nil, 0
+	for _, e := range l.log {
+		l.rev = e.rev
+		switch {
+		case e.lease == 0:
+			l.items[e.item.Key] = e.item
+		case e.ended:
+			delete(l.leases, e.lease)
+		default:
+			l.leases[e.lease] = true
+		}
+	}
+	l.oldest = l.rev
+	l.era++
+	l.wake()
+}
+
+// noteLease logs the begin or the end of a lease. The lock is held.
+func (l *Ledger) noteLease(lease uint64, ended bool) {
+	l.log = append(l.log, logEntry{at: time.Now(), rev: l.rev, lease: lease, ended: ended})
+}
+
 // LedgerFaults are the faults in force. The zero value has none.
 type LedgerFaults struct {
 	Down bool // no answer to anybody
@@ -72,6 +124,9 @@
 func (l *Ledger) Lapse() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for lease := range l.leases {
+		l.noteLease(lease, true)
+	}
 	clear(l.leases)
 }
 
@@ -108,6 +163,7 @@
 func (l *Ledger) write(it store.Item) {
 	l.items[it.Key] = it
 	l.history = append(l.history, it)
+	l.log = append(l.log, logEntry{at: time.Now(), rev: l.rev, item: it})
 }
 
 func (l *Ledger) wake() {
@@ -121,6 +177,14 @@
 type ledgerClient struct {
 	l    *Ledger
 	name string
+	seen uint64 // era of the last reply; guarded by the lock of the ledger
+}
+
+// Era implements store.Ledger.
+func (c *ledgerClient) Era() uint64 {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	return c.seen
 }
 
 // begin waits for the time of a call and returns an error if the ledger does
@@ -163,6 +227,7 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
+	c.seen = c.l.era
 	it, ok := c.l.items[key]
 	if !ok || it.Removed {
 		return store.Item{}, store.ErrNotFound
@@ -178,6 +243,7 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
+	c.seen = c.l.era
 	var out []store.Item
 	for _, it := range c.l.items {
 		if strings.HasPrefix(it.Key, prefix) && !it.Removed {
@@ -198,7 +264,8 @@
 	defer end.Stop()
 	for {
 		c.l.mu.Lock()
-		if after < c.l.oldest {
+		if after < c.l.oldest || after > c.l.rev {
+			c.seen = c.l.era
 			c.l.mu.Unlock()
 			return nil, after, store.ErrCompacted
 		}
@@ -211,6 +278,7 @@
 		rev, changed, down := c.l.rev, c.l.changed, c.l.faults.Down || c.l.faults.Silent[c.name]
 		if !down {
 			c.l.countRead(out...)
+			c.seen = c.l.era
 		}
 		c.l.mu.Unlock()
 		if len(out) > 0 && !down {
@@ -240,7 +308,16 @@
 		<-ctx.Done()
 		return 0, fmt.Errorf("%w: %w", store.ErrUncertain, ctx.Err())
 	}
-	return c.l.commit(txn)
+	if txn.Outdated(c.Era()) {
+		return 0, fmt.Errorf("not sent: %w: %w", store.ErrConflict, store.ErrRestored)
+	}
+	rev, err := c.l.commit(txn)
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	if c.seen = c.l.era; txn.Outdated(c.seen) {
+		return 0, fmt.Errorf("%w: %w", store.ErrUncertain, store.ErrRestored)
+	}
+	return rev, err
 }
 
 // later makes a write take effect after a time.
@@ -298,8 +375,10 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
+	c.seen = c.l.era
 	c.l.rev++
 	c.l.leases[c.l.rev] = true
+	c.l.noteLease(c.l.rev, false)
 	return c.l.rev, nil
 }
 
@@ -310,7 +389,7 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
-	if !c.l.leases[lease] {
+	if c.seen = c.l.era; !c.l.leases[lease] {
 		return store.ErrLeaseLost
 	}
 	return nil
@@ -323,6 +402,8 @@
 	}
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
+	c.seen = c.l.era
 	delete(c.l.leases, lease)
+	c.l.noteLease(lease, true)
 	return nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,6 +56,7 @@
 	ErrorCode uint8        `cbor:"1,keyasint,omitempty"` // index into wireErrors
 	Items     []store.Item `cbor:"2,keyasint,omitempty"`
 	Number    uint64       `cbor:"3,keyasint,omitempty"` // revision or lease ID
+	Era       uint64       `cbor:"4,keyasint,omitempty"` // of the store; missing from nodes that do not know it
 }
 
 // wireErrors lists the errors that a reply carries by their code; 0 is success.
@@ -67,7 +69,8 @@
 	store.Ledger
 	peers  *peer.Transport
 	clock  clock.Clock
-	health store.Health // of direct calls
+	health store.Health  // of direct calls
+	era    atomic.Uint64 // latest one shown by a reply of another node
 
 	mu        sync.Mutex
 	relays    func() []string // addresses of nodes that may be asked
@@ -93,6 +96,19 @@
 // Health returns whether the store answers this node itself.
 func (l *Ledger) Health() *store.Health { return &l.health }
 
+// Era implements store.Ledger.
+func (l *Ledger) Era() uint64 { return max(l.Ledger.Era(), l.era.Load()) }
+
+// noteEra takes the era over that another node has seen.
+func (l *Ledger) noteEra(era uint64) {
+	for {
+		seen := l.era.Load()
+		if era <= seen || l.era.CompareAndSwap(seen, era) {
+			return
+		}
+	}
+}
+
 // Changes implements store.Ledger. It is not relayed: other nodes copy what a node lacks.
 func (l *Ledger) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Item, uint64, error) {
 	items, rev, err := l.Ledger.Changes(ctx, prefix, after, wait)
@@ -228,6 +244,9 @@
 	case opReadAll:
 		r.Items, r.Number, err = l.Ledger.ReadAll(ctx, req.Key)
 	case opCommit:
+		if req.Txn.Outdated(l.Era()) {
+			return r, fmt.Errorf("commit: not sent: %w: %w", store.ErrConflict, store.ErrRestored)
+		}
 		r.Number, err = l.Ledger.Commit(ctx, req.Txn)
 	case opNewLease:
 		r.Number, err = l.Ledger.NewLease(ctx, req.TTL)
@@ -265,6 +284,10 @@
 			return reply{}, fmt.Errorf("%w: unknown error code %d in the reply", store.ErrUncertain, r.ErrorCode)
 		}
 		err = wireErrors[r.ErrorCode]
+		if l.noteEra(r.Era); r.Era < l.Era() && !hadNoEffect(err) {
+			// A node that does not know eras cannot tell whether its reply is of this one.
+			return reply{}, fmt.Errorf("%w: call through %s: %w", store.ErrUncertain, relays[at], store.ErrRestored)
+		}
 		if hadNoEffect(err) {
 			l.prefer(at + 1) // the store may refuse this node as well
 			continue
@@ -292,12 +315,13 @@
 	}
 	if !l.health.Answers() {
 		// The other node has no time to wait in vain for the store here.
-		return cbor.Marshal(reply{ErrorCode: errorCode(store.ErrBusy)})
+		return cbor.Marshal(reply{ErrorCode: errorCode(store.ErrBusy), Era: l.Era()})
 	}
 	r, err := l.callDirect(ctx, req)
 	if err != nil {
 		r = reply{ErrorCode: errorCode(err)}
 	}
+	r.Era = l.Era()
 	return cbor.Marshal(r)
 }
 
--- a/store/count.go
+++ b/store/count.go
@@ -49,6 +49,9 @@
 	c.note(kind, outcome, c.clock.Since(begun))
 }
 
+// Era implements Ledger.
+func (c *Counted) Era() uint64 { return c.ledger.Era() }
+
 // Read implements Ledger.
 func (c *Counted) Read(ctx context.Context, key string) (Item, error) {
 	begun := c.clock.Now()
