fleet: ownership outlasts a store that is restored from an older copy

Cause: after a restore, revisions are given out again, leases and the latest ranges are lost; nodes took the older records for present ones, so keys could get two owners. Change: records name the era in which they were written. Ranges of an earlier era are a reason to grant only for nodes that knew them before and whose right has not lapsed; the planning node writes them again once every node has told what it knows or its right has ended. Leases of an earlier era are never kept or ended. Result: TestRestoredStoreDuringMoves and TestRandomFaultsWithRestores.

--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -91,7 +91,7 @@
 		}
 	}
 	f.applyRecords(items, fromList)
-	f.synced = true
+	f.synced, f.eras.relisting = true, false
 }
 
 // applyRecord applies a record. It reports whether that is of a new node or of a new run
@@ -110,8 +110,7 @@
 		if err != nil {
 			return false, err
 		}
-		f.noteRangeChange(service, f.ranges[service], m, it.Rev)
-		f.ranges[service] = m
+		f.adoptRanges(service, m, it.Rev)
 		return false, nil
 	}
 	if name, ok := strings.CutPrefix(it.Key, prefixCrashes); ok {
@@ -121,6 +120,7 @@
 	if !ok {
 		return false, fmt.Errorf("%w: key has an unknown prefix", ErrRecord)
 	}
+	f.eras.recordedAt[name] = f.cfg.Clock.Elapsed()
 	if it.Removed {
 		if name == f.cfg.Name {
 			f.startNewRun(f.members[name]) // only records of ended runs are removed
@@ -133,6 +133,12 @@
 		return false, err
 	}
 	old, known := f.members[name]
+	if name == f.cfg.Name {
+		f.eras.ownReplaced = !f.presentEra(m.Era)
+	}
+	if known && f.keepMember(old, m) {
+		return false, nil
+	}
 	f.members[name] = m
 	if name == f.cfg.Name {
 		f.restarted = f.restarted || m.Run != f.run
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -25,6 +25,7 @@
 type copyRequest struct {
 	After   uint64 `cbor:"1,keyasint"`           // revision up to which the caller knows all records
 	Version uint8  `cbor:"2,keyasint,omitempty"` // protocolVersion of the caller
+	Era     uint64 `cbor:"3,keyasint,omitempty"` // of After
 }
 
 type copyReply struct {
@@ -35,6 +36,7 @@
 	Packed []packedItem `cbor:"4,keyasint,omitempty"`
 	// Origin tells where the records come from.
 	Origin origin `cbor:"5,keyasint,omitempty"`
+	Era    uint64 `cbor:"6,keyasint,omitempty"` // of the revisions
 }
 
 // origin tells how a node gets its records.
@@ -91,12 +93,12 @@
 
 // copyFrom copies newer records from a node.
 func (f *Fleet) copyFrom(ctx context.Context, address string) (copyReply, error) {
-	after := uint64(0)
+	req := copyRequest{Version: protocolVersion}
 	// An error means that the loop has ended.
-	_ = f.query(ctx, func(time.Duration) { after = f.knownRev })
+	_ = f.query(ctx, func(time.Duration) { req.After, req.Era = f.knownRev, f.eras.now })
 	callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, copyRequest{After: after, Version: protocolVersion})
+	r, err := peer.Call[copyReply](callCtx, f.cfg.Peers, address, MethodCopy, req)
 	if err != nil {
 		return r, err
 	}
@@ -104,6 +106,9 @@
 		return r, err
 	}
 	return r, f.post(ctx, func(now time.Duration) {
+		if !f.enterPeerEra(r.Era, now) || r.Era != req.Era && f.eras.relisting {
+			return // the next copy begins at the first revision
+		}
 		f.applyChanges(r.Items, r.Rev, fromCopy)
 		f.confirmThrough(r.Rev, r.AgeMs, now)
 	})
@@ -134,7 +139,15 @@
 	}
 	var r copyReply
 	var b batch
+	relisting := false
 	err := f.query(ctx, func(now time.Duration) {
+		if c.Era > f.eras.now {
+			f.enterEra(c.Era, now)
+		}
+		r.Era, relisting = f.eras.now, f.eras.relisting
+		if c.Era != 0 && c.Era != f.eras.now {
+			c.After = 0
+		}
 		r.Rev, r.AgeMs = f.knownRev, f.freshness.ageMs(now)
 		r.Origin = originNodes
 		if f.watches() && f.watchFailures.Load() == 0 {
@@ -150,6 +163,9 @@
 			r.Items = append(r.Items, f.items[key])
 		}
 	})
+	if err == nil && relisting {
+		err = errEraUnknown
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -81,6 +81,15 @@
 	c.changed = true
 }
 
+// recordCrashesAgain makes this node write its record of crashes if a restored store has
+// lost it.
+func (f *Fleet) recordCrashesAgain(now time.Duration) {
+	c := &f.crashes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed, c.dueAt = true, max(now+f.restoreDelay(), c.writtenAt)
+}
+
 // crashTxn writes this node's record of crashes if it is due.
 func (f *Fleet) crashTxn(now time.Duration) (store.Txn, string) {
 	var txn store.Txn
--- /dev/null
+++ b/fleet/era_test.go
@@ -0,0 +1,205 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocklift/emul"
+	"burdocklift/span"
+)
+
+// onSiteInEra is onSite with a store that names eras.
+func onSiteInEra(t *testing.T, test func(w *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newSiteInEra(ctx, t, hosts, slog.DiscardHandler, 1)
+		defer w.stop()
+		time.Sleep(10 * time.Second)
+		assertAllHeld(t, w)
+		test(w)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, v := range w.violations {
+			t.Errorf("ownership violated: %s", v)
+		}
+	})
+}
+
+// restore makes the store unavailable for a moment and brings it back from a copy. The
+// operator writes its record again some seconds later.
+func (w *site) restore(back time.Duration) {
+	w.setFaults(func(f *emul.LedgerFaults) { f.Down = true })
+	time.Sleep(300 * time.Millisecond)
+	w.ledger.Restore(back)
+	w.setFaults(func(f *emul.LedgerFaults) { f.Down = false })
+	w.after(3*time.Second, func() { w.ledger.Put("rules", []byte{9}) })
+}
+
+// assertHeldThroughout fails if a key has no holder at any moment of a time.
+func assertHeldThroughout(t *testing.T, w *site, d time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if n := w.heldKeys(); n != span.MaxKey+1 {
+			t.Errorf("%v: %d keys have no holder", w.clock.Elapsed(), span.MaxKey+1-n)
+			return
+		}
+	}
+}
+
+// leave makes the target beside a node leave, which hands its keys over.
+func (w *site) leave(host string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets[host].leaving = true
+}
+
+// restoreHeldWithin bounds the time without a holder: 25.3 s for a node that is gone, and
+// the takeover.
+const restoreHeldWithin = 35 * time.Second
+
+// Guards against owners that lose their keys because a restored store lacks their records,
+// leases included.
+func TestRestoredStoreKeepsOwners(t *testing.T) {
+	for _, back := range []time.Duration{time.Second, 5 * time.Second, 9500 * time.Millisecond, time.Hour} {
+		t.Run(back.String(), func(t *testing.T) {
+			onSiteInEra(t, func(w *site) {
+				w.restore(back)
+				assertHeldThroughout(t, w, 40*time.Second)
+				for _, h := range hosts {
+					if _, ok := w.node("c1").View().Member(h); !ok || w.ledger.Value("burdocklift/node/"+h) == nil {
+						t.Errorf("record of %s was not restored", h)
+					}
+					if era, _ := w.node(h).Era(); era != 1 {
+						t.Errorf("%s is in era %d, want 1", h, era)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against two holders of a key, epochs that are given out again and keys that stay
+// without a holder, if the store goes back during a move of keys.
+func TestRestoredStoreDuringMoves(t *testing.T) {
+	for name, move := range map[string]func(w *site){
+		"takeover": func(w *site) {
+			w.killNode("b1")
+		},
+		"takeover of a node that is cut off": func(w *site) {
+			w.isolate("b1", true)
+			w.after(20*time.Second, func() { w.isolate("b1", false) })
+		},
+		"handover": func(w *site) {
+			w.leave("b1")
+		},
+		"handover by the planning node, which ends": func(w *site) {
+			w.leave("b1")
+			w.after(700*time.Millisecond, func() { w.killNode("a1") })
+			w.after(8*time.Second, func() { w.startNode("a1") })
+		},
+		"rolling restart": func(w *site) {
+			for i, h := range hosts {
+				w.after(time.Duration(i)*1500*time.Millisecond, func() { w.killNode(h) })
+				w.after(time.Duration(i)*1500*time.Millisecond+time.Second, func() { w.startNode(h) })
+			}
+		},
+		"restart of all": func(w *site) {
+			w.leave("b1")
+			time.Sleep(2 * time.Second)
+			for _, h := range hosts {
+				w.killNode(h)
+			}
+			for _, h := range hosts {
+				w.startNode(h)
+			}
+		},
+		"all leave a data centre": func(w *site) {
+			w.leave("b1")
+			w.leave("b2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, phase := range []time.Duration{50, 400, 1000, 1800, 2600, 3500, 4700, 6500} {
+				for _, back := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 6 * time.Second} {
+					t.Run(fmt.Sprint(phase, " ms, back by ", back), func(t *testing.T) {
+						onSiteInEra(t, func(w *site) {
+							move(w)
+							time.Sleep(phase * time.Millisecond)
+							w.restore(back)
+							time.Sleep(restoreHeldWithin)
+							assertHeldWithin(t, w, 4*time.Second)
+						})
+					})
+				}
+			}
+		})
+	}
+}
+
+// Guards against a combination of faults that leaves a key with two owners or none after
+// the store has gone back, also more than once and with late writes of an earlier era.
+func TestRandomFaultsWithRestores(t *testing.T) {
+	for seed := uint64(101); seed <= 100+randomSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			onSiteInEra(t, func(w *site) {
+				r := rand.New(rand.NewPCG(seed, 0))
+				for range 1 + r.IntN(3) {
+					back := randomSeconds(r, 0.2, 8)
+					w.after(randomSeconds(r, 1, 70), func() { w.ledger.Restore(back) })
+				}
+				randomFaults(w, r, 25)
+				w.endFaults()
+				w.ledger.Put("rules", []byte{9})
+				time.Sleep(70 * time.Second)
+				assertAllHeld(t, w)
+				if t.Failed() { // logs the final state of the nodes
+					for _, h := range hosts {
+						t.Logf("node %s: %s", h, w.node(h).Dump())
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against rules that go back to the version of an older copy, or are lost with the
+// operator's record.
+func TestRestoredStoreKeepsRules(t *testing.T) {
+	onSiteInEra(t, func(w *site) {
+		w.ledger.Put("rules", []byte{5})
+		time.Sleep(2 * time.Second)
+		w.restore(4 * time.Second)
+		for range 40 {
+			for _, h := range hosts {
+				if v := w.node(h).View().Rules().Version(); v < 5 {
+					t.Fatalf("%s has version %d of the rules after the restore, want 5 or later", h, v)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assertRulesWithin(t, w, 9, 2*time.Second)
+	})
+}
+
+// Guards against a node that the store does not answer and that goes on in an earlier era.
+func TestEraFromRelay(t *testing.T) {
+	onSiteInEra(t, func(w *site) {
+		w.setFaults(func(f *emul.LedgerFaults) { f.Turned = map[string]bool{"a2": true, "c1": true} })
+		w.restore(2 * time.Second)
+		time.Sleep(2 * time.Second)
+		for _, h := range hosts {
+			if era, ok := w.node(h).Era(); !ok || era != 1 {
+				t.Errorf("%s is in era %d, want 1", h, era)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		assertAllHeld(t, w)
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,6 +65,9 @@
 	watchFailures    atomic.Int32  // consecutive watches that the store did not serve
 	lastWatchFailure atomic.Int64  // time.Duration on the clock at the last failure
 
+	knownEra    atomic.Uint64                      // eras.now for other goroutines
+	cancelWatch atomic.Pointer[context.CancelFunc] // ends the call for changes in flight
+
 	copySource string // address of the node to copy records from first; owned by follow
 	copyCursor int    // selects the others; owned by follow
 
@@ -79,8 +82,10 @@
 	// the time at which this node learned that the right of an earlier run had ended.
 	run            int64
 	items          map[string]store.Item // stored records of this system, by key
-	synced         bool                  // all records were read at least once
-	restarted      bool                  // an earlier run of this node has written its record
+	eras           eras
+	rangesRev      map[string]uint64 // by service, revision of the known ranges in the era that they name
+	synced         bool              // all records were read at least once
+	restarted      bool              // an earlier run of this node has written its record
 	rules          *rules.Set
 	knownRev       uint64 // revision up to which all records are known
 	freshness      freshness
@@ -125,6 +130,9 @@
 		relayHeardAt: now, startedAt: now, departures: make(map[string]departure),
 		roleChanged: make(chan struct{}, 1), resigned: make(chan struct{}, 1),
 	}
+	f.rangesRev = make(map[string]uint64)
+	f.eras.kept, f.eras.stored = make(map[string]bool), make(map[string]uint64)
+	f.eras.recordedAt = make(map[string]time.Duration)
 	f.mustReload.Store(true)
 	// The target may hold keys that an earlier run of this node granted.
 	f.local.holdEndsBy = now + maxHold
@@ -142,6 +150,7 @@
 	cfg.Peers.Handle(MethodChanges, f.handleChanges)
 	cfg.Peers.Handle(MethodCopy, f.handleCopy)
 	cfg.Peers.Handle(MethodReleases, f.handleReleases)
+	cfg.Peers.Handle(MethodGather, f.handleGather)
 	cfg.Peers.Handle(MethodConfirm, f.handleConfirm)
 	cfg.Peers.Handle(MethodRefuse, f.handleRefuse)
 	return f
@@ -198,6 +207,7 @@
 		case <-ticks.Chan():
 			f.checkHeartbeat(f.cfg.Clock.Elapsed())
 			f.revokeDue(ctx, f.cfg.Clock.Elapsed())
+			f.gatherDue(ctx, f.cfg.Clock.Elapsed())
 		}
 		now := f.cfg.Clock.Elapsed()
 		if reconciles {
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -67,7 +67,7 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
 			f.mustReload.Store(true)
 			continue
 		}
@@ -128,12 +128,17 @@
 	callCtx, cancel := context.WithTimeout(ctx, reloadTimeout)
 	defer cancel()
 	sent := f.cfg.Clock.Elapsed()
-	items, rev, err := f.cfg.Store.ReadAll(callCtx, "")
+	var items []store.Item
+	var rev uint64
+	era, err := f.inEra(ctx, func() (err error) { items, rev, err = f.cfg.Store.ReadAll(callCtx, ""); return err })
 	if err != nil {
 		return err
 	}
-	f.mustReload.Store(false)
-	return f.post(ctx, func(time.Duration) {
+	return f.post(ctx, func(now time.Duration) {
+		if !f.enterEra(era, now) {
+			return
+		}
+		f.mustReload.Store(false)
 		f.applyListing(f.ownRecords(items), rev)
 		f.knownRev = max(f.knownRev, rev)
 		f.freshness.confirm(sent)
@@ -143,10 +148,10 @@
 }
 
 func (f *Fleet) watch(ctx context.Context) error {
-	after := uint64(0)
+	after, known := uint64(0), uint64(0)
 	wait := watchWait
 	err := f.query(ctx, func(now time.Duration) {
-		after = f.knownRev
+		after, known = f.knownRev, f.eras.now
 		if f.watchFailures.Load() > 0 || f.freshness.age(now) > maxRelayAge {
 			wait = retryWatchWait
 		}
@@ -156,12 +161,24 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+watchGrace)
 	defer cancel()
-	items, next, err := f.cfg.Store.Changes(callCtx, "", after, wait)
+	f.cancelWatch.Store(&cancel)
+	var items []store.Item
+	var next uint64
+	era, err := f.inEra(ctx, func() (err error) { items, next, err = f.cfg.Store.Changes(callCtx, "", after, wait); return err })
+	if err == nil && known != 0 && era != known {
+		err = errEraUnknown // the revision is of an earlier era
+	}
 	if err != nil {
+		if f.mustReload.Load() {
+			return errEraUnknown
+		}
 		return err
 	}
 	f.watchFailures.Store(0)
 	err = f.post(ctx, func(now time.Duration) {
+		if !f.enterEra(era, now) || f.eras.relisting {
+			return
+		}
 		f.applyChanges(f.ownRecords(items), next, fromWatch)
 		f.freshness.confirm(now)
 	})
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -35,6 +35,7 @@
 	AgeMs int64        `cbor:"5,keyasint,omitempty"` // since the store last confirmed that there is no newer record
 	// Packed holds compressed records.
 	Packed []packedItem `cbor:"6,keyasint,omitempty"`
+	Era    uint64       `cbor:"7,keyasint,omitempty"` // of the revisions
 }
 
 // rangeChange is the revision at which the ranges of a service last changed for a node.
@@ -50,6 +51,9 @@
 		c = &rangeChange{nodeRevs: make(map[string]uint64)}
 		f.rangeChanges[service] = c
 	}
+	if old.Era != m.Era {
+		c.ownerRev = rev // all nodes wait for the ranges of their era
+	}
 	for _, r := range m.Ranges {
 		before, ok := old.Find(r.From)
 		if !ok || before.From != r.From || before.To != r.To || before.Epoch != r.Epoch || before.Owner != r.Owner {
@@ -65,7 +69,7 @@
 // revision.
 func (f *Fleet) changesFor(node string, after uint64, now time.Duration) (changeSet, bool) {
 	var b batch
-	n := changeSet{After: after, Rev: f.knownRev, AgeMs: f.freshness.ageMs(now)}
+	n := changeSet{After: after, Rev: f.knownRev, Era: f.eras.now, AgeMs: f.freshness.ageMs(now)}
 	for key, it := range f.items {
 		if it.Rev <= after {
 			continue
@@ -85,6 +89,9 @@
 // relayChanges starts calls to all nodes of the data centre that lack changes. It is
 // called on the loop of a relay.
 func (f *Fleet) relayChanges(ctx context.Context) {
+	if f.eras.relisting {
+		return
+	}
 	for name, m := range f.members {
 		after, ok := f.peerRevs[name]
 		if !ok || m.DataCentre != f.cfg.DataCentre || name == f.cfg.Name || f.relaying[name] || !f.cfg.Peers.Reachable(m.Address) {
@@ -109,15 +116,35 @@
 	reply, err := peer.Call[reportReply](callCtx, f.cfg.Peers, m.Address, MethodChanges, n)
 	cancel()
 	// An error means that the loop has ended.
-	_ = f.query(ctx, func(time.Duration) {
+	_ = f.query(ctx, func(now time.Duration) {
 		delete(f.relaying, m.Name)
-		if err == nil {
-			f.peerRevs[m.Name] = reply.Rev
+		if err == nil && f.notePeerRev(m.Name, reply.Rev, reply.Era, now) {
 			f.changesPending = true
 		}
 	})
 }
 
+// notePeerRev records the revision up to which a node knows all records. It returns false
+// if that is not of the present era. A node that names none is of an earlier version.
+func (f *Fleet) notePeerRev(name string, rev, era uint64, now time.Duration) bool {
+	if era != 0 && !f.enterEra(era, now) {
+		f.peerRevs[name] = 0
+		return false
+	}
+	f.peerRevs[name] = rev
+	return true
+}
+
+// enterPeerEra takes over the era of records from another node, and reports whether they
+// may be used. Those of nodes of earlier versions name none, and may be of any after a
+// restore.
+func (f *Fleet) enterPeerEra(era uint64, now time.Duration) bool {
+	if era == 0 {
+		return !f.eras.restored
+	}
+	return f.enterEra(era, now)
+}
+
 func (f *Fleet) handleChanges(ctx context.Context, body []byte) ([]byte, error) {
 	var n changeSet
 	if err := cbor.Unmarshal(body, &n); err != nil {
@@ -127,9 +154,10 @@
 	if err != nil {
 		return nil, err
 	}
+	var read []readItem
 	for _, key := range n.Large {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		it, err := f.cfg.Store.Read(callCtx, key)
+		it, err := f.read(callCtx, key)
 		cancel()
 		if err != nil {
 			// The relay passes on again what is still missing.
@@ -137,17 +165,23 @@
 			n.Rev = n.After
 			continue
 		}
-		items = append(items, it)
+		read = append(read, it)
 	}
 	var reply reportReply
 	err = f.post(ctx, func(now time.Duration) {
+		f.relayHeardAt = now
+		defer func() { reply.Rev, reply.Era = f.knownRev, f.eras.now }()
+		if !f.enterPeerEra(n.Era, now) {
+			return
+		}
 		f.applyRecords(items, fromRelay)
+		for _, it := range read {
+			f.applyRead(it, now)
+		}
 		if n.After <= f.knownRev {
 			f.knownRev = max(f.knownRev, n.Rev)
 		}
 		f.confirmThrough(n.Rev, n.AgeMs, now)
-		f.relayHeardAt = now
-		reply.Rev = f.knownRev
 	})
 	if err != nil {
 		return nil, err
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -35,6 +35,7 @@
 
 	balanceAt    time.Duration // time at which the load is balanced next
 	serviceRates map[string]serviceRate
+	gather       gathering
 	wasStopping  map[string]bool // nodes that were stopping at the last call of owners
 }
 
@@ -223,7 +224,7 @@
 		return false
 	}
 	owners := f.owners(service, now)
-	if len(owners) == 0 {
+	if len(owners) == 0 || f.ownerUnknown(d.Map, now) {
 		return false
 	}
 	m := d.edit()
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -36,6 +36,9 @@
 	// Revoked is true if another node recorded that the right to grant of this run has
 	// ended for good. The node can return only as another run.
 	Revoked bool `cbor:"10,keyasint,omitempty"`
+	// Era is that of the store in which the lease was taken, or the revocation recorded.
+	// It is 0 if the store names none and in records of earlier versions.
+	Era uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Serves reports whether a node takes new work of a service to its target.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -13,7 +13,8 @@
 
 // protocolVersion is the version of the calls between nodes of this package: 1 has
 // MethodResign, compressed records and ages, which nodes of version 0 do not know.
-const protocolVersion = 1
+// 2 has MethodGather.
+const protocolVersion = 2
 
 // MethodReport is the call by which a node tells the planning node and its relay that it
 // is alive, and the load of its keys.
@@ -39,13 +40,14 @@
 // Report is what a node sends to the planning node and, without load, to its relay.
 type Report struct {
 	Name           string           `cbor:"1,keyasint"`
-	Rev            uint64           `cbor:"7,keyasint"`           // up to which the sender knows all records
-	Requests       map[int]uint32   `cbor:"3,keyasint,omitempty"` // by key, since the last report
-	Incarnation    span.Incarnation `cbor:"4,keyasint,omitzero"`  // of the target beside the sender
-	Answered       int              `cbor:"5,keyasint,omitempty"` // requests that the target answered since the last report
-	ServiceSeconds float64          `cbor:"6,keyasint,omitempty"` // seconds that the target spent on them
-	MayRelay       bool             `cbor:"8,keyasint,omitempty"` // the store answers the sender reliably
-	Version        uint8            `cbor:"9,keyasint,omitempty"` // protocolVersion of the sender
+	Rev            uint64           `cbor:"7,keyasint"`            // up to which the sender knows all records
+	Requests       map[int]uint32   `cbor:"3,keyasint,omitempty"`  // by key, since the last report
+	Incarnation    span.Incarnation `cbor:"4,keyasint,omitzero"`   // of the target beside the sender
+	Answered       int              `cbor:"5,keyasint,omitempty"`  // requests that the target answered since the last report
+	ServiceSeconds float64          `cbor:"6,keyasint,omitempty"`  // seconds that the target spent on them
+	MayRelay       bool             `cbor:"8,keyasint,omitempty"`  // the store answers the sender reliably
+	Version        uint8            `cbor:"9,keyasint,omitempty"`  // protocolVersion of the sender
+	Era            uint64           `cbor:"10,keyasint,omitempty"` // of Rev
 }
 
 type reportReply struct {
@@ -58,6 +60,7 @@
 	Relays bool   `cbor:"4,keyasint,omitempty"`
 	Rev    uint64 `cbor:"3,keyasint,omitempty"` // up to which the node knows all records
 	AgeMs  int64  `cbor:"6,keyasint,omitempty"` // since the store last confirmed that there is no newer record
+	Era    uint64 `cbor:"7,keyasint,omitempty"` // of Rev
 }
 
 // sendReports reports to the planning node once in an interval. The planning node is the
@@ -130,7 +133,9 @@
 		if reply.Leads || reply.Relays {
 			f.relayHeardAt = now
 		}
-		f.confirmThrough(reply.Rev, reply.AgeMs, now)
+		if f.enterPeerEra(reply.Era, now) {
+			f.confirmThrough(reply.Rev, reply.AgeMs, now)
+		}
 	})
 	return reply, nil
 }
@@ -164,14 +169,16 @@
 	reply := reportReply{Name: f.cfg.Name, Leads: f.canLead()}
 	err := f.query(ctx, func(now time.Duration) {
 		f.planner.receiveReport(r, now)
-		f.peerRevs[r.Name] = r.Rev
+		f.notePeerRev(r.Name, r.Rev, r.Era, now)
 		reply.Relays = f.relaysReliably(now)
 		f.versions[r.Name] = r.Version
 		if delete(f.election.candidates, r.Name); r.MayRelay && f.members[r.Name].DataCentre == f.cfg.DataCentre {
 			f.election.candidates[r.Name] = now
 		}
-		f.changesPending = f.changesPending || r.Rev < f.knownRev
-		reply.Rev, reply.AgeMs = f.knownRev, f.freshness.ageMs(now)
+		f.changesPending = f.changesPending || f.peerRevs[r.Name] < f.knownRev
+		if reply.Rev, reply.Era = f.knownRev, f.eras.now; !f.eras.relisting {
+			reply.AgeMs = f.freshness.ageMs(now)
+		}
 	})
 	if err != nil {
 		return nil, err
@@ -202,7 +209,7 @@
 func (f *Fleet) takeReport(ctx context.Context, withLoad bool) Report {
 	r := Report{Name: f.cfg.Name, MayRelay: f.mayRelay(f.cfg.Clock.Elapsed()), Version: protocolVersion}
 	// An error means that the loop has ended.
-	_ = f.query(ctx, func(time.Duration) { r.Rev = f.knownRev })
+	_ = f.query(ctx, func(time.Duration) { r.Rev, r.Era = f.knownRev, f.eras.now })
 	if !withLoad {
 		return r
 	}
--- a/fleet/right.go
+++ b/fleet/right.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 	"time"
@@ -54,6 +55,7 @@
 // other nodes can end.
 type grantRight struct {
 	lease      uint64
+	era        uint64 // of the lease
 	witnesses  []Witness
 	validUntil time.Duration // by the clock of this node
 }
@@ -82,29 +84,55 @@
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	sent := f.cfg.Clock.Elapsed()
-	lease, err := f.cfg.Store.NewLease(ctx, leaseTTL)
+	var lease uint64
+	era, err := f.inEra(ctx, func() (err error) { lease, err = f.cfg.Store.NewLease(ctx, leaseTTL); return err })
 	if err != nil {
 		return 0, err
 	}
 	err = f.post(ctx, func(time.Duration) {
-		f.grantRight.lease = lease
+		f.grantRight.lease, f.grantRight.era = lease, era
 		f.grantRight.witnesses = f.chooseWitnesses()
 	})
 	if err != nil {
 		return 0, err
 	}
-	if err := f.await(ctx, func() bool { return f.members[f.cfg.Name].Lease == lease }); err != nil {
+	if err := f.await(ctx, func() bool { return f.recordNames(lease) || f.eras.now != era }); err != nil {
 		return 0, err
 	}
-	items, rev, err := f.cfg.Store.ReadAll(ctx, prefixOwn)
+	var items []store.Item
+	var rev uint64
+	listed, err := f.inEra(ctx, func() (err error) { items, rev, err = f.cfg.Store.ReadAll(ctx, prefixOwn); return err })
 	if err != nil {
 		return 0, err
 	}
-	err = f.post(ctx, func(time.Duration) {
+	postErr := f.post(ctx, func(now time.Duration) {
+		if listed != era || f.eras.now != era {
+			err = errEraUnknown
+			return
+		}
 		f.applyListing(items, rev)
-		f.grantRight.validUntil = max(f.grantRight.validUntil, sent+rightTTL)
+		f.extendRight(sent, now)
 	})
-	return lease, err
+	return lease, errors.Join(postErr, err)
+}
+
+// recordNames reports whether this node's record names a lease of the present era.
+func (f *Fleet) recordNames(lease uint64) bool {
+	m := f.members[f.cfg.Name]
+	return m.Lease == lease && f.grantRight.era == f.eras.now && f.presentEra(m.Era)
+}
+
+// keepLease renews a lease at the store. One of an earlier era is lost: the store may
+// have given its number to another node since.
+func (f *Fleet) keepLease(ctx context.Context, lease uint64) error {
+	era, err := f.inEra(ctx, func() error { return f.cfg.Store.KeepLease(ctx, lease) })
+	lost := errors.Is(err, store.ErrRestored)
+	// An error means that the loop has ended.
+	_ = f.query(ctx, func(time.Duration) { lost = lost || err == nil && f.grantRight.era != era })
+	if lost {
+		return fmt.Errorf("%w: it is of an earlier era", store.ErrLeaseLost)
+	}
+	return err
 }
 
 // renewRight renews a lease and the right until the lease is lost or new witnesses cannot
@@ -122,11 +150,12 @@
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
-		err := f.cfg.Store.KeepLease(callCtx, lease)
+		err := f.keepLease(callCtx, lease)
 		cancel()
 		f.noteStoreState(ctx, err)
 		if errors.Is(err, store.ErrLeaseLost) {
 			eventRightLost.Log(ctx, f.cfg.Log, slog.Uint64("lease", lease))
+			f.sleep(ctx, f.lostLeaseDelay(ctx))
 			return
 		}
 		if err != nil {
@@ -138,10 +167,18 @@
 			eventRightConfirmed.Log(ctx, f.cfg.Log, slog.Uint64("lease", lease), slog.Duration("store_age", sent-confirmedAt))
 		}
 		// An error means that the loop has ended.
-		_ = f.post(ctx, func(time.Duration) { f.grantRight.validUntil = max(f.grantRight.validUntil, sent+rightTTL) })
+		missing := false
+		_ = f.post(ctx, func(now time.Duration) {
+			f.extendRight(sent, now)
+			_, known := f.members[f.cfg.Name]
+			missing = !known
+		})
 		if err != nil {
 			continue
 		}
+		if missing {
+			return // a late write of another node removed this node's record
+		}
 		confirmedAt = sent
 		s := f.checkWitnesses()
 		if s == witnessUnreachable && sent-healthyAt > unreachableWitnessDelay || s == witnessMissing && sent-healthyAt > missingWitnessDelay {
@@ -156,6 +193,18 @@
 	}
 }
 
+// lostLeaseDelay returns the wait before a node takes another lease: after a restore of the
+// store all nodes do.
+func (f *Fleet) lostLeaseDelay(ctx context.Context) (d time.Duration) {
+	// An error means that the loop has ended.
+	_ = f.query(ctx, func(now time.Duration) {
+		if f.eras.restored && now-f.eras.since < renewInterval+maxRestoreSpread {
+			d = f.restoreDelay()
+		}
+	})
+	return d
+}
+
 // chooseWitnesses returns witnesses among the reachable nodes. It is called on the loop.
 func (f *Fleet) chooseWitnesses() []Witness {
 	var members []Member
--- a/fleet/settle.go
+++ b/fleet/settle.go
@@ -11,6 +11,8 @@
 	"burdocklift/store"
 )
 
+var errEarlierEra = errors.New("record is of an earlier era of the store, whose rights end by themselves")
+
 var errTooFewRefusals = errors.New("too few witnesses refused to confirm the right")
 
 const (
@@ -93,7 +95,7 @@
 	for _, m := range f.ranges {
 		for _, r := range m.Ranges {
 			for _, p := range r.Prior {
-				if p.Node == f.cfg.Name || f.members[p.Node].Revoked {
+				if m := f.members[p.Node]; p.Node == f.cfg.Name || m.Revoked && f.presentEra(m.Era) {
 					continue
 				}
 				if leads {
@@ -167,7 +169,7 @@
 func (f *Fleet) revokeRight(ctx context.Context, node string) {
 	callCtx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
-	rev, err := f.revokeLease(callCtx, node)
+	rev, era, err := f.revokeLease(callCtx, node)
 	// An error of post means that the loop has ended.
 	_ = f.post(ctx, func(now time.Duration) {
 		if errors.Is(err, errAlive) {
@@ -179,6 +181,9 @@
 			return
 		}
 		e.inFlight = false
+		if era != f.eras.now && rev != 0 {
+			return // the revision is of an earlier era
+		}
 		e.retryAt = now + revokeRetryInterval
 		if rev != 0 && (e.rev != rev || e.leaseEndedAt == 0) {
 			e.rev, e.leaseEndedAt = rev, now
@@ -199,37 +204,55 @@
 // revokeLease ends the lease of a node and has its witnesses refuse to confirm the right.
 // It returns the revision of the member record that named the lease. The record is read
 // again first, as the node may have taken another lease.
-func (f *Fleet) revokeLease(ctx context.Context, node string) (uint64, error) {
+func (f *Fleet) revokeLease(ctx context.Context, node string) (rev, era uint64, err error) {
 	if m, ok := f.View().Member(node); ok && f.probe(ctx, m) {
-		return 0, errAlive
+		return 0, 0, errAlive
 	}
-	it, err := f.cfg.Store.Read(ctx, prefixMember+node)
+	it, err := f.read(ctx, prefixMember+node)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	// An error means that the loop has ended.
-	_ = f.post(ctx, func(time.Duration) { f.applyRecords([]store.Item{it}, fromRead) })
+	present := true
 	m, err := decodeMember(it.Key, it.Value)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
+	}
+	_ = f.post(ctx, func(now time.Duration) {
+		f.applyRead(it, now)
+		present = f.presentEra(m.Era)
+	})
+	// The store may have given the number of a lease of an earlier era to another node.
+	if !present && m.Era != 0 {
+		return 0, 0, errEarlierEra
 	}
-	if err := f.cfg.Store.EndLease(ctx, m.Lease); err != nil {
-		return 0, err
+	ended, err := f.inEra(ctx, func() error { return f.cfg.Store.EndLease(ctx, m.Lease) })
+	if err == nil && ended != it.era {
+		err = errEraUnknown
 	}
-	if !f.requestRefusal(ctx, m, it.Rev) {
-		return it.Rev, errTooFewRefusals
+	if err != nil {
+		return 0, 0, err
 	}
-	return it.Rev, nil
+	if !present || !f.requestRefusal(ctx, m, it.Rev) {
+		return it.Rev, it.era, errTooFewRefusals
+	}
+	return it.Rev, it.era, nil
 }
 
 // rightEnded reports whether the right of a node has certainly ended, provided that its
 // record still has the revision known to this node.
 func (f *Fleet) rightEnded(node string, now time.Duration) bool {
 	m, ok := f.members[node]
-	if !ok || node == f.cfg.Name {
+	if node == f.cfg.Name {
+		return false
+	}
+	if f.earlierRightEnded(node, now) {
+		return true
+	}
+	if !ok {
 		return false
 	}
-	if m.Revoked || f.revoker.skipRightWait && f.planner.lost(m, now) {
+	if m.Revoked && f.presentEra(m.Era) || f.revoker.skipRightWait && f.planner.lost(m, now) {
 		return true
 	}
 	e, ok := f.revoker.revocations[node]
@@ -269,8 +292,8 @@
 	for _, node := range nodes {
 		key := prefixMember + node
 		txn.Expect = append(txn.Expect, f.expect(key))
-		if m := f.members[node]; !m.Revoked {
-			m.Revoked = true
+		if m, ok := f.members[node]; ok && !(m.Revoked && f.presentEra(m.Era)) {
+			m.Revoked, m.Era = true, f.eras.now
 			txn.Writes = append(txn.Writes, store.Write{Key: key, Value: encodeMember(m)})
 		}
 	}
@@ -282,7 +305,7 @@
 		return store.Txn{}, ""
 	}
 	for name, m := range f.members {
-		if !m.Revoked && f.rightEnded(name, now) && !f.isReferenced(name) {
+		if !(m.Revoked && f.presentEra(m.Era)) && f.rightEnded(name, now) && !f.isReferenced(name) {
 			var txn store.Txn
 			f.addRevocations(&txn, []string{name})
 			return txn, "revoked member"
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -28,7 +28,7 @@
 		if before != f.local.heartbeat.Target {
 			f.logTarget(before)
 		}
-		if f.synced {
+		if f.synced && f.mayGrant(hb.Service) {
 			reply = f.local.reply(f.ranges[hb.Service], f.cfg.Name, f.grantRight.validUntil, now)
 		}
 		f.publish()
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -46,6 +46,7 @@
 	Node  string `cbor:"1,keyasint"`
 	Run   int64  `cbor:"2,keyasint"` // of the witness that is called
 	Lease uint64 `cbor:"3,keyasint"`
+	Era   uint64 `cbor:"4,keyasint,omitempty"` // of the lease, whose number may be given out again in the next one
 }
 
 type witnessReply struct {
@@ -91,7 +92,7 @@
 	for _, w := range asked {
 		go func() {
 			r, err := peer.Call[witnessReply](ctx, f.cfg.Peers, w.Address, method,
-				witnessRequest{Node: m.Name, Run: w.Run, Lease: m.Lease})
+				witnessRequest{Node: m.Name, Run: w.Run, Lease: m.Lease, Era: m.Era})
 			replies <- err == nil && accept(w, r)
 		}()
 	}
@@ -133,26 +134,29 @@
 // which is a later one if all records up to that revision are known.
 func (f *Fleet) cannotConfirm(w Witness, rev uint64) bool {
 	m, ok := f.members[w.Name]
-	return ok && (m.Run == w.Run && m.Revoked || m.Run != w.Run && f.knownRev >= rev)
+	return ok && f.presentEra(m.Era) && (m.Run == w.Run && m.Revoked || m.Run != w.Run && f.knownRev >= rev)
 }
 
 // witnessState is what a node remembers as a witness of others.
 type witnessState struct {
-	refused map[uint64]bool // leases that are no longer confirmed
+	refused map[leaseID]bool // leases that are no longer confirmed
 }
 
+// leaseID identifies a lease over all eras.
+type leaseID struct{ lease, era uint64 }
+
 func (f *Fleet) handleConfirm(ctx context.Context, body []byte) ([]byte, error) {
 	return f.handleWitnessRequest(ctx, body, func(c witnessRequest, now time.Duration) bool {
-		return !f.witness.refused[c.Lease] && now < f.grantRight.validUntil
+		return !f.witness.refused[leaseID{c.Lease, c.Era}] && now < f.grantRight.validUntil
 	})
 }
 
 func (f *Fleet) handleRefuse(ctx context.Context, body []byte) ([]byte, error) {
 	return f.handleWitnessRequest(ctx, body, func(c witnessRequest, _ time.Duration) bool {
 		if f.witness.refused == nil {
-			f.witness.refused = make(map[uint64]bool)
+			f.witness.refused = make(map[leaseID]bool)
 		}
-		f.witness.refused[c.Lease] = true
+		f.witness.refused[leaseID{c.Lease, c.Era}] = true
 		eventConfirmationsRefused.Log(ctx, f.cfg.Log, slog.String("member", c.Node), slog.Uint64("lease", c.Lease))
 		return false
 	})
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -57,11 +57,17 @@
 }
 
 func newSiteWithLog(ctx context.Context, t *testing.T, names []string, h slog.Handler) *site {
+	return newSiteInEra(ctx, t, names, h, 0)
+}
+
+// newSiteInEra returns a site whose store names an era, unless that is 0.
+func newSiteInEra(ctx context.Context, t *testing.T, names []string, h slog.Handler, era uint64) *site {
 	w := &site{
 		t: t, ctx: ctx, clock: clock.NewBubble(), log: slog.New(h),
 		ledger: emul.NewLedger(4 * time.Millisecond), net: emul.NewNet(),
 		nodes: make(map[string]*node), targets: make(map[string]*target),
 	}
+	w.ledger.SetEra(era)
 	w.ledger.Put("rules", nil)
 	for _, name := range names {
 		w.startNode(name)
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -38,7 +38,7 @@
 
 // reconcile starts the write that is due, if any.
 func (f *Fleet) reconcile(ctx context.Context, now time.Duration) {
-	if !f.synced || f.writer.busy || now < f.writer.nextAttempt {
+	if !f.synced || f.eras.relisting || f.writer.busy || now < f.writer.nextAttempt {
 		return
 	}
 	txn, reason := f.memberTxn(now)
@@ -64,6 +64,7 @@
 	if reason == "" {
 		return
 	}
+	txn.Era = f.eras.now
 	f.writer.busy = true
 	go f.commit(ctx, txn, reason)
 }
@@ -72,31 +73,51 @@
 // result is known or the context has ended.
 func (f *Fleet) commit(ctx context.Context, txn store.Txn, reason string) {
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
-	rev, err := f.cfg.Store.Commit(callCtx, txn)
+	var rev uint64
+	_, err := f.inEra(ctx, func() (err error) { rev, err = f.cfg.Store.Commit(callCtx, txn); return err })
 	cancel()
-	var current []store.Item
-	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUncertain) {
+	var current []readItem
+	if (errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUncertain)) && !errors.Is(err, store.ErrRestored) {
 		current = f.reread(ctx, txn)
 	}
 	// An error means that the loop has ended, so that nobody needs the result.
 	_ = f.post(ctx, func(now time.Duration) { f.finishWrite(ctx, now, txn, reason, rev, current, err) })
 }
 
+// readItem is a record that was read by itself, with the era in which it was read.
+type readItem struct {
+	store.Item
+	era uint64
+}
+
+// read reads one record.
+func (f *Fleet) read(ctx context.Context, key string) (out readItem, err error) {
+	out.era, err = f.inEra(ctx, func() (err error) { out.Item, err = f.cfg.Store.Read(ctx, key); return err })
+	return out, err
+}
+
+// applyRead applies a record that was read by itself, unless the store was restored since.
+func (f *Fleet) applyRead(it readItem, now time.Duration) {
+	if f.enterEra(it.era, now) {
+		f.applyRecords([]store.Item{it.Item}, fromRead)
+	}
+}
+
 // reread reads the records of a write that conflicted or whose outcome is uncertain. It
 // retries until the store answers, as the outcome is not known before.
-func (f *Fleet) reread(ctx context.Context, txn store.Txn) []store.Item {
-	var out []store.Item
+func (f *Fleet) reread(ctx context.Context, txn store.Txn) []readItem {
+	var out []readItem
 	for _, e := range txn.Expect {
 		for ctx.Err() == nil {
 			callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-			it, err := f.cfg.Store.Read(callCtx, e.Key)
+			it, err := f.read(callCtx, e.Key)
 			cancel()
 			if err == nil {
 				out = append(out, it)
 				break
 			}
-			if errors.Is(err, store.ErrNotFound) {
-				break // the watch returns the revision of the removal
+			if errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrRestored) {
+				break // the watch returns the revision of the removal, and all records are listed anew
 			}
 			f.sleep(ctx, rereadInterval)
 		}
@@ -104,8 +125,11 @@
 	return out
 }
 
-func (f *Fleet) finishWrite(ctx context.Context, now time.Duration, txn store.Txn, reason string, rev uint64, current []store.Item, err error) {
+func (f *Fleet) finishWrite(ctx context.Context, now time.Duration, txn store.Txn, reason string, rev uint64, current []readItem, err error) {
 	f.writer.busy = false
+	if err == nil && txn.Era != f.eras.now && txn.Era != 0 {
+		err = store.ErrRestored // its effect is lost
+	}
 	if err != nil {
 		f.writer.backoff = min(max(2*f.writer.backoff, minWriteBackoff), maxWriteBackoff)
 		if errors.Is(err, store.ErrConflict) {
@@ -114,7 +138,9 @@
 		f.writer.nextAttempt = now + f.writer.backoff
 		f.retryTimer.Reset(f.writer.backoff)
 		eventWriteFailed.Log(ctx, f.cfg.Log, slog.String("reason", reason), slog.String("error", err.Error()))
-		f.applyRecords(current, fromRead)
+		for _, it := range current {
+			f.applyRead(it, now)
+		}
 		return
 	}
 	f.writer.backoff = 0
@@ -141,16 +167,16 @@
 
 // memberTxn updates this node's own record if it is out of date.
 func (f *Fleet) memberTxn(now time.Duration) (store.Txn, string) {
-	if f.grantRight.lease == 0 {
+	if f.grantRight.lease == 0 || f.grantRight.era != f.eras.now {
 		return store.Txn{}, ""
 	}
 	want := Member{
 		Name: f.cfg.Name, Address: f.cfg.Address, DataCentre: f.cfg.DataCentre, Region: f.cfg.Region,
 		Run: f.run, Lease: f.grantRight.lease, Target: f.ownTarget(now), Witnesses: f.grantRight.witnesses,
-		Stopping: f.stopping,
+		Stopping: f.stopping, Era: f.grantRight.era,
 	}
 	have, ok := f.members[f.cfg.Name]
-	if ok && sameMember(have, want) {
+	if ok && sameMember(have, want) && !f.eras.ownReplaced {
 		return store.Txn{}, ""
 	}
 	key := prefixMember + f.cfg.Name
@@ -167,7 +193,7 @@
 		return false
 	}
 	return a.Name == b.Name && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Region == b.Region &&
-		a.Run == b.Run && a.Lease == b.Lease && a.Revoked == b.Revoked && a.Stopping == b.Stopping && slices.Equal(a.Witnesses, b.Witnesses)
+		a.Run == b.Run && a.Lease == b.Lease && a.Revoked == b.Revoked && a.Stopping == b.Stopping && a.Era == b.Era && slices.Equal(a.Witnesses, b.Witnesses)
 }
 
 // rangesDraft is the ranges of a service that are to be written. They are copied when
@@ -191,6 +217,12 @@
 		if !f.concernsRanges(service) {
 			continue
 		}
+		if !f.rangesRestored(service) && !f.mayCreateRanges(service) {
+			if txn, ok := f.restoreTxn(service, now); ok {
+				return txn, "ranges of " + service + ": restored"
+			}
+			continue
+		}
 		old, ok := f.ranges[service]
 		m := &rangesDraft{Map: old, shared: true}
 		reason := ""
@@ -199,6 +231,9 @@
 				reason += " " + why
 			}
 		}
+		if !ok && f.eras.now > 0 {
+			m.edit().RaiseEpochs(max(f.planner.gather.maxEpoch, f.shownEpoch()), false)
+		}
 		if ok {
 			add(f.replaceSuperseded(m, service, now), "renewed")
 			add(f.recordReleases(m, service, now), "released")
@@ -206,10 +241,12 @@
 		add(f.plan(m, service, now), "moved")
 		ended := f.settleRevoked(m, now)
 		add(len(ended) > 0, "settled")
+		add(ok && f.planner.leads.Load() && f.eras.stored[service] != f.eras.now, "era")
 		if reason == "" {
 			continue
 		}
 		m.edit().Merge()
+		m.Era = f.eras.now
 		if err := m.Check(); err != nil {
 			panic(fmt.Sprintf("ranges of service %s are invalid after%s: %v", service, reason, err))
 		}
--- a/span/span.go
+++ b/span/span.go
@@ -68,6 +68,8 @@
 type Map struct {
 	NextEpoch uint64  `cbor:"1,keyasint"` // epoch that the next change of owner gets
 	Ranges    []Range `cbor:"2,keyasint"`
+	// Era is that of the store in which the map was written, 0 if it names none.
+	Era uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
@@ -205,6 +207,18 @@
 	return m.NextEpoch - 1
 }
 
+// RaiseEpochs makes all epochs that are issued from now on exceed a number. Renewed, each
+// range gets such an epoch and loses the token of its last handover, as both may be older
+// than what the last holder had.
+func (m *Map) RaiseEpochs(above uint64, renewed bool) {
+	m.NextEpoch = max(m.NextEpoch, above+1)
+	for i := range m.Ranges {
+		if renewed {
+			m.Ranges[i].Epoch, m.Ranges[i].Token = m.issueEpoch(), ""
+		}
+	}
+}
+
 // Move transfers keys to another owner at once. The new owner may hold them when
 // the present one has released them or its lease has ended.
 func (m *Map) Move(from, to int, owner Incarnation, node string) {
