--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -207,6 +208,9 @@
 // metrics serves counters and latency histograms as JSON.
 func (a *Agent) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	if era, ok := a.fleet.Era(); ok {
+		a.router.Metrics().SetGauge("store_era", int64(min(era, math.MaxInt64)))
+	}
 	if err := json.NewEncoder(w).Encode(a.router.Metrics()); err != nil {
 		a.log.Warn("metrics not delivered", "error", err)
 	}
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -177,13 +177,14 @@
 	return max(era, 1) - 1, era > 0
 }
 
-// vanishedStayFor returns for how much longer records of operators that are missing after
-// a restore of the store stay in force. It is zero once they count as removed.
-func (f *Fleet) vanishedStayFor(now time.Duration) time.Duration {
+// vanishedUntil returns until when records of operators that a restored store lacks stay in
+// force, or 0. The first listing of an era reports no removals, so whoever applies
+// such records drops those that are still missing at that time.
+func (f *Fleet) vanishedUntil() time.Duration {
 	if !f.eras.restored {
 		return 0
 	}
-	return max(f.eras.since+operatorGrace-now, 0)
+	return f.eras.since + operatorGrace
 }
 
 // errEraUnknown is returned for a call that was not answered in one era.
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -60,6 +60,28 @@
 	w.targets[host].leaving = true
 }
 
+// restartAllAfterMove moves the keys of a target to all others, and restarts these and all
+// nodes, so that nothing but the store tells of the epochs under which they held the keys.
+func (w *site) restartAllAfterMove(leaves bool) {
+	w.leave("b1")
+	time.Sleep(2 * time.Second)
+	for _, h := range hosts {
+		w.killNode(h)
+	}
+	w.mu.Lock()
+	w.targets["b1"].leaving = leaves
+	w.mu.Unlock()
+	for _, h := range hosts {
+		if h != "b1" {
+			w.crashTarget(h)
+			w.startTarget(h)
+		}
+	}
+	for _, h := range hosts {
+		w.startNode(h)
+	}
+}
+
 // restoreHeldWithin bounds the time without a holder: 25.3 s for a node that is gone, and
 // the takeover.
 const restoreHeldWithin = 35 * time.Second
@@ -120,6 +142,8 @@
 				w.startNode(h)
 			}
 		},
+		"restart of all, also of targets that got keys": func(w *site) { w.restartAllAfterMove(true) },
+		"same, and the first owner stays":               func(w *site) { w.restartAllAfterMove(false) },
 		"all leave a data centre": func(w *site) {
 			w.leave("b1")
 			w.leave("b2")
@@ -176,6 +200,10 @@
 		w.ledger.Put("rules", []byte{5})
 		time.Sleep(2 * time.Second)
 		w.restore(4 * time.Second)
+		time.Sleep(time.Second)
+		if left := w.node("b2").View().VanishedStayFor(w.clock.Elapsed()); left < 10*time.Second {
+			t.Errorf("records of operators stay in force for %v after the restore, want 10 s or more", left)
+		}
 		for range 40 {
 			for _, h := range hosts {
 				if v := w.node(h).View().Rules().Version(); v < 5 {
@@ -185,6 +213,10 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 		assertRulesWithin(t, w, 9, 2*time.Second)
+		time.Sleep(12 * time.Second)
+		if left := w.node("b2").View().VanishedStayFor(w.clock.Elapsed()); left != 0 {
+			t.Errorf("records of operators stay in force for another %v", left)
+		}
 	})
 }
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -61,16 +61,16 @@
 	eventWatchFailed = event.Define(3017, "watch failed", slog.LevelInfo,
 		"The store did not answer a call for changes. The revision and the age are those of what the node knows.",
 		"Restore the store or the network path to it.")
-	eventStoreRestored = event.Define(3018, "store restored", slog.LevelWarn,
+	eventStoreRestored = event.Define(3040, "store restored", slog.LevelWarn,
 		"The store was restored from an older copy, as its era shows. The node lists all records anew and keeps what it knows of "+
 			"owners until the planning node has restored the ranges.",
 		"Write the operators' records again: rules and evacuations.")
-	eventRangesRestored = event.Define(3019, "ranges restored", slog.LevelWarn,
+	eventRangesRestored = event.Define(3041, "ranges restored", slog.LevelWarn,
 		"The planning node writes the ranges of a service again after the store was restored from an older copy. It has asked all "+
 			"nodes; absent is the number of those that did not answer and whose rights have ended. Renewed is true if all "+
 			"ranges get new epochs, as there may have been later ones than any node knows.",
 		"None.")
-	eventGatheredInvalid = event.Define(3020, "gathered ranges invalid", slog.LevelWarn,
+	eventGatheredInvalid = event.Define(3042, "gathered ranges invalid", slog.LevelWarn,
 		"A node told the planning node ranges that cannot be decoded, after the store was restored from an older copy.",
 		"Report the line. The planning node asks again.")
 	eventLoadCompared = event.Define(3015, "load compared", slog.LevelInfo,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -262,7 +262,7 @@
 func (f *Fleet) publish() {
 	v := &View{
 		rules: f.rules, members: f.members, ranges: f.ranges, local: f.local,
-		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
+		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, vanishedUntil: f.vanishedUntil(), changed: make(chan struct{}),
 	}
 	old := f.view.Load()
 	if old != nil && sameNames(old.order, f.members) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -16,7 +16,9 @@
 	local     localTarget
 	rightEnds map[string]time.Duration
 	restarted bool
-	changed   chan struct{}
+	// vanishedUntil is when records of operators that a restored store lacks cease to apply.
+	vanishedUntil time.Duration
+	changed       chan struct{}
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
@@ -66,6 +68,10 @@
 // known before the rules.
 func (v *View) Restarted() bool { return v.restarted }
 
+// VanishedStayFor returns for how much longer records of operators stay in force that are
+// missing since the store was restored from an older copy.
+func (v *View) VanishedStayFor(now time.Duration) time.Duration { return max(v.vanishedUntil-now, 0) }
+
 // Target returns the target beside this node, or nil.
 func (v *View) Target() *Target { return v.local.target() }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -119,8 +119,14 @@
 			})
 			r.later(ctx, d, func() { r.setStore(func(f *emul.LedgerFaults) { f.Lost = nil }) })
 		case 7:
-			r.note(0, "store forgets history and leases")
 			r.unserveAll(0)
+			if d.Milliseconds()%2 == 0 { // draws nothing, so that schedules of earlier seeds stay
+				r.note(0, "store goes back by %v", d)
+				r.site.ledger.Restore(d)
+				r.site.PutRules() // as operators do
+				break
+			}
+			r.note(0, "store forgets history and leases")
 			r.site.ledger.Compact()
 			r.site.ledger.Lapse()
 		case 8, 9:
--- a/soak/site.go
+++ b/soak/site.go
@@ -112,6 +112,7 @@
 		binary: binary, dir: dir, check: check, ledger: emul.NewLedger(storeTime), version: 1, written: make(map[int]time.Time),
 		rng: rand.New(rand.NewPCG(seed, 1)),
 	}
+	s.ledger.SetEra(1) // the store names its eras
 	// Runs at the same time use other addresses.
 	number := os.Getpid()*8 + int(runs.Add(1))
 	net1, net2 := 16+number%100, 1+number/100%200
