--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -136,7 +136,11 @@
 	if name == f.cfg.Name {
 		f.eras.ownReplaced = !f.presentEra(m.Era)
 	}
+	delete(f.eras.laterRun, name)
 	if known && f.keepMember(old, m) {
+		if old.Run > m.Run {
+			f.eras.laterRun[name] = true
+		}
 		return false, nil
 	}
 	f.members[name] = m
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -43,6 +43,8 @@
 	stored map[string]uint64
 	// ownReplaced is true if a late write of an earlier era has replaced this node's record.
 	ownReplaced bool
+	// laterRun are the nodes of which this one knows a later run than their stored record.
+	laterRun map[string]bool
 	// recordedAt is when the member record of a node last changed.
 	recordedAt map[string]time.Duration
 }
@@ -79,6 +81,7 @@
 	clear(f.rangeChanges)
 	clear(f.eras.stored)
 	clear(f.eras.recordedAt)
+	clear(f.eras.laterRun)
 	clear(f.revoker.revocations)
 	clear(f.releases.fromPeers)
 	f.releases.sentAt = nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -132,7 +132,7 @@
 	}
 	f.rangesRev = make(map[string]uint64)
 	f.eras.kept, f.eras.stored = make(map[string]bool), make(map[string]uint64)
-	f.eras.recordedAt = make(map[string]time.Duration)
+	f.eras.recordedAt, f.eras.laterRun = make(map[string]time.Duration), make(map[string]bool)
 	f.mustReload.Store(true)
 	// The target may hold keys that an earlier run of this node granted.
 	f.local.holdEndsBy = now + maxHold
--- a/fleet/gather.go
+++ b/fleet/gather.go
@@ -59,7 +59,8 @@
 	Ranges []keptRanges `cbor:"4,keyasint,omitempty"`
 	// MaxEpoch is the highest epoch that the node and its target have shown.
 	MaxEpoch uint64 `cbor:"5,keyasint,omitempty"`
-	// Missing are the nodes that have no record in the present era, as the node knows them.
+	// Missing are the nodes that have no record in the present era, or one of an earlier run,
+	// as the node knows them.
 	Missing []Member `cbor:"6,keyasint,omitempty"`
 }
 
@@ -121,7 +122,7 @@
 	}
 	var asked []Member
 	for name, m := range f.members {
-		if _, ok := g.answered[name]; !ok && name != f.cfg.Name && !m.Revoked && f.versions[name] >= gatherVersion {
+		if _, ok := g.answered[name]; !ok && name != f.cfg.Name && !(m.Revoked && f.presentEra(m.Era)) && f.versions[name] >= gatherVersion {
 			asked = append(asked, m)
 		}
 	}
@@ -228,7 +229,7 @@
 			r.Ranges = append(r.Ranges, keptRanges{service, mark, data})
 		}
 		for name, m := range f.members {
-			if it, ok := f.items[prefixMember+name]; !ok || it.Removed {
+			if it, ok := f.items[prefixMember+name]; !ok || it.Removed || f.eras.laterRun[name] {
 				r.Missing = append(r.Missing, m)
 			}
 		}
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -217,6 +217,14 @@
 // to announce themselves, which they do every 0.87 s.
 const initialPlanDelay = 2500 * time.Millisecond
 
+// noteTargets returns when a target of a service was first seen, now at the latest.
+func (p *planner) noteTargets(service string, now time.Duration) time.Duration {
+	if _, ok := p.firstSeen[service]; !ok {
+		p.firstSeen[service] = now
+	}
+	return p.firstSeen[service]
+}
+
 // plan moves keys if this is the planning node: from targets that leave or are lost to the
 // others, and from busy targets to idle ones. It reports whether anything changed.
 func (f *Fleet) plan(d *rangesDraft, service string, now time.Duration) bool {
@@ -229,11 +237,7 @@
 	}
 	m := d.edit()
 	if len(m.Ranges) == 0 {
-		first, ok := f.planner.firstSeen[service]
-		if !ok {
-			f.planner.firstSeen[service] = now
-		}
-		if !ok || now-first < initialPlanDelay {
+		if now-f.planner.noteTargets(service, now) < initialPlanDelay {
 			return false
 		}
 	}
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -221,6 +221,9 @@
 			if txn, ok := f.restoreTxn(service, now); ok {
 				return txn, "ranges of " + service + ": restored"
 			}
+			if len(f.owners(service, now)) > 0 {
+				f.planner.noteTargets(service, now)
+			}
 			continue
 		}
 		old, ok := f.ranges[service]
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -71,6 +71,7 @@
 	clock  clock.Clock
 	health store.Health  // of direct calls
 	era    atomic.Uint64 // latest one shown by a reply of another node
+	first  atomic.Uint64 // first one seen
 
 	mu        sync.Mutex
 	relays    func() []string // addresses of nodes that may be asked
@@ -99,6 +100,15 @@
 // Era implements store.Ledger.
 func (l *Ledger) Era() uint64 { return max(l.Ledger.Era(), l.era.Load()) }
 
+// answeredNow reports whether a reply that names an era, or none as those of nodes that do
+// not know it, is of the present one. Without a restore since the start there is no other.
+func (l *Ledger) answeredNow(era uint64) bool {
+	l.noteEra(era)
+	present := l.Era()
+	l.first.CompareAndSwap(0, present)
+	return era >= present || era == 0 && present == l.first.Load()
+}
+
 // noteEra takes the era over that another node has seen.
 func (l *Ledger) noteEra(era uint64) {
 	for {
@@ -257,6 +267,7 @@
 	default:
 		return r, fmt.Errorf("%w: unknown store operation %d", store.ErrUnavailable, req.Op)
 	}
+	l.first.CompareAndSwap(0, l.Era())
 	l.health.Record(err, l.clock.Elapsed())
 	return r, err
 }
@@ -284,8 +295,7 @@
 			return reply{}, fmt.Errorf("%w: unknown error code %d in the reply", store.ErrUncertain, r.ErrorCode)
 		}
 		err = wireErrors[r.ErrorCode]
-		if l.noteEra(r.Era); r.Era < l.Era() && !hadNoEffect(err) {
-			// A node that does not know eras cannot tell whether its reply is of this one.
+		if !l.answeredNow(r.Era) && !hadNoEffect(err) {
 			return reply{}, fmt.Errorf("%w: call through %s: %w", store.ErrUncertain, relays[at], store.ErrRestored)
 		}
 		if hadNoEffect(err) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -139,3 +139,35 @@
 		})
 	}
 }
+
+// Guards against replies of another era that pass for present ones: a node that does not
+// know eras (it names none) may answer from before or after a restore.
+func TestEraOfReplies(t *testing.T) {
+	runOnNodes(t, func(t *testing.T, ledger *emul.Ledger, nodes map[string]*relay.Ledger) {
+		read := func(name string) error {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			_, err := nodes[name].Read(ctx, "k")
+			return err
+		}
+		ledger.Put("k", nil)
+		ledger.SetEra(2)
+		ledger.SetFaults(emul.LedgerFaults{Turned: map[string]bool{"a": true}})
+		if err := read("a"); err != nil || nodes["a"].Era() != 2 {
+			t.Errorf("relayed read: error %v, era %d, want 2", err, nodes["a"].Era())
+		}
+		time.Sleep(time.Second)
+		ledger.Restore(500 * time.Millisecond)
+		if err := read("a"); err != nil || nodes["a"].Era() != 3 {
+			t.Errorf("relayed read after a restore: error %v, era %d, want 3", err, nodes["a"].Era())
+		}
+		txn := store.Txn{Era: 2, Writes: []store.Write{{Key: "k", Value: []byte("v")}}}
+		if _, err := nodes["a"].Commit(context.Background(), txn); !errors.Is(err, store.ErrConflict) {
+			t.Errorf("relayed write on conditions of an earlier era: %v, want %v", err, store.ErrConflict)
+		}
+		ledger.SetEra(0) // the others answer as nodes that do not know eras
+		if err := read("a"); !errors.Is(err, store.ErrUncertain) {
+			t.Errorf("reply without an era after a restore: %v, want %v", err, store.ErrUncertain)
+		}
+	})
+}
