--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -36,7 +36,9 @@
 	Packed []packedItem `cbor:"4,keyasint,omitempty"`
 	// Origin tells where the records come from.
 	Origin origin `cbor:"5,keyasint,omitempty"`
-	Era    uint64 `cbor:"6,keyasint,omitempty"` // of the revisions
+	// Version is the protocolVersion of the sender, 0 before version 2.
+	Version uint8  `cbor:"6,keyasint,omitempty"`
+	Era     uint64 `cbor:"7,keyasint,omitempty"` // of the revisions
 }
 
 // origin tells how a node gets its records.
@@ -109,6 +111,10 @@
 		if !f.enterPeerEra(r.Era, now) || r.Era != req.Era && f.eras.relisting {
 			return // the next copy begins at the first revision
 		}
+		if f.cfg.EvacuationPrefix != "" && r.Version < evacuationVersion {
+			f.applyChanges(r.Items, 0, fromCopy) // records of evacuations may be missing
+			return
+		}
 		f.applyChanges(r.Items, r.Rev, fromCopy)
 		f.confirmThrough(r.Rev, r.AgeMs, now)
 	})
@@ -137,7 +143,7 @@
 	if err := cbor.Unmarshal(body, &c); err != nil {
 		return nil, err
 	}
-	var r copyReply
+	r := copyReply{Version: protocolVersion}
 	var b batch
 	relisting := false
 	err := f.query(ctx, func(now time.Duration) {
@@ -154,7 +160,7 @@
 			r.Origin = originStore
 		}
 		for _, it := range f.items {
-			if it.Rev > c.After {
+			if it.Rev > c.After && (c.Version >= evacuationVersion || !f.isEvacuation(it.Key)) {
 				f.addToBatch(&b, it, c.Version > 0)
 			}
 		}
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -35,6 +35,8 @@
 	restored  bool
 	since     time.Duration // when this node learned of the present era
 	relisting bool          // the records of the present era are not listed yet
+	// keepsVanished is true until records of operators that are missing since then are dropped.
+	keepsVanished bool
 	// kept are the services whose ranges this node read in an earlier era and that the
 	// planning node has not restored yet. The value is false if the right to grant has
 	// lapsed since, so that others may have the keys.
@@ -73,7 +75,7 @@
 	if earlier == 0 {
 		return true // the first era that this node sees
 	}
-	f.eras.restored, f.eras.relisting = true, true
+	f.eras.restored, f.eras.relisting, f.eras.keepsVanished = true, true, true
 	f.knownRev = 0
 	clear(f.items)
 	clear(f.peerRevs)
@@ -181,8 +183,7 @@
 }
 
 // vanishedUntil returns until when records of operators that a restored store lacks stay in
-// force, or 0. The first listing of an era reports no removals, so whoever applies
-// such records drops those that are still missing at that time.
+// force, or 0. The first listing of an era reports no removals.
 func (f *Fleet) vanishedUntil() time.Duration {
 	if !f.eras.restored {
 		return 0
@@ -190,6 +191,22 @@
 	return f.eras.since + operatorGrace
 }
 
+// dropVanished ends the evacuations whose records are still missing some time after a
+// restore of the store.
+func (f *Fleet) dropVanished(now time.Duration) {
+	if !f.eras.keepsVanished || f.eras.relisting || now < f.vanishedUntil() {
+		return
+	}
+	f.eras.keepsVanished = false
+	for dataCentre := range f.policy.Evacuations() {
+		key := f.cfg.EvacuationPrefix + dataCentre
+		if it, ok := f.items[key]; ok && !it.Removed {
+			continue
+		}
+		f.applyRecords([]store.Item{{Key: key, Rev: f.knownRev, Removed: true}}, fromList)
+	}
+}
+
 // errEraUnknown is returned for a call that was not answered in one era.
 var errEraUnknown = fmt.Errorf("%w: during the call", store.ErrRestored)
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -61,20 +61,39 @@
 	eventWatchFailed = event.Define(3017, "watch failed", slog.LevelInfo,
 		"The store did not answer a call for changes. The revision and the age are those of what the node knows.",
 		"Restore the store or the network path to it.")
-	eventStoreRestored = event.Define(3040, "store restored", slog.LevelWarn,
+	eventNoCommonRegion = event.Define(3040, "no common region", slog.LevelWarn,
+		"The routes that lead to a service with keys name regions, but no region is named by all of them. Its keys may have any owner, and "+
+			"requests of a route are refused with the reason region when the owner of their key is outside its regions.",
+		"Name a common region in all routes that lead to the service.")
+	eventEvacuationBegan = event.Define(3041, "evacuation began", slog.LevelWarn,
+		"The node learned that an operator asks for the evacuation of a data centre. Work without keys goes elsewhere at once, keys move, "+
+			"and after closes_ms this node sends nothing more there, or to its own target if that is there.",
+		"None. The metrics tell how many targets there are still in use.")
+	eventEvacuationEnded = event.Define(3042, "evacuation ended", slog.LevelWarn,
+		"The node learned that the request to evacuate a data centre was withdrawn. Its targets get requests and keys again.",
+		"None.")
+	eventKeysNotEvacuated = event.Define(3043, "keys not evacuated", slog.LevelError,
+		"The planning node found no target outside the evacuated data centres that may own the keys of a service. They stay, and "+
+			"requests for them are refused with the reason evacuated.",
+		"Withdraw an evacuation, start targets elsewhere, or change the regions of the routes.")
+	eventStoreRestored = event.Define(3050, "store restored", slog.LevelWarn,
 		"The store was restored from an older copy, as its era shows. The node lists all records anew and keeps what it knows of "+
 			"owners until the planning node has restored the ranges.",
 		"Write the operators' records again: rules and evacuations.")
-	eventRangesRestored = event.Define(3041, "ranges restored", slog.LevelWarn,
+	eventRangesRestored = event.Define(3051, "ranges restored", slog.LevelWarn,
 		"The planning node writes the ranges of a service again after the store was restored from an older copy. It has asked all "+
 			"nodes; absent is the number of those that did not answer and whose rights have ended. Renewed is true if all "+
 			"ranges get new epochs, as there may have been later ones than any node knows.",
 		"None.")
-	eventGatheredInvalid = event.Define(3042, "gathered ranges invalid", slog.LevelWarn,
+	eventGatheredInvalid = event.Define(3052, "gathered ranges invalid", slog.LevelWarn,
 		"A node told the planning node ranges that cannot be decoded, after the store was restored from an older copy.",
 		"Report the line. The planning node asks again.")
 	eventLoadCompared = event.Define(3015, "load compared", slog.LevelInfo,
 		"The planning node compared the targets of a service, and moved keys from busy to idle ones if moved is true. A ratio "+
 			"of 1 is the mean of load over capacity.",
 		"None. A target that refuses for lack of free slots although its ratio is low has less capacity than it reported.")
+	eventTargetCold = event.Define(3030, "target cold", slog.LevelInfo,
+		"The target beside the node is cold, so that it gets few requests in a second, or is warm again (cold is false). If known is "+
+			"false, the target may be cold: it refused connections, fell silent, or an event may have made it cold.",
+		"None. If it lasts, look at the heartbeats of the target.")
 )
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklift/place"
 	"burdocklift/span"
 	"burdocklift/store"
 )
@@ -32,6 +33,7 @@
 	runsSeen   map[string]firstSighting
 	firstSeen  map[string]time.Duration // by service, when a target was first seen
 	lostLogged map[string]bool
+	keptLogged map[string]bool // services whose keys stay in evacuated data centres
 
 	balanceAt    time.Duration // time at which the load is balanced next
 	serviceRates map[string]serviceRate
@@ -91,8 +93,9 @@
 }
 
 // capacity returns how many requests a second a target can run. Without a known service
-// time the result is only comparable with that of other targets.
-func (p *planner) capacity(m Member, mean float64) float64 {
+// time the result is only comparable with that of other targets. A cold target gets no more
+// than coldRate, unless that is 0.
+func (p *planner) capacity(m Member, mean, coldRate float64) float64 {
 	slots := float64(max(m.Target.Slots, 1))
 	if mean == 0 {
 		return slots
@@ -101,6 +104,9 @@
 	if m.Target.Limit > 0 {
 		capacity = m.Target.Limit
 	}
+	if m.Target.Cold && coldRate > 0 {
+		capacity = min(capacity, coldRate)
+	}
 	s := p.serviceRates[m.Name]
 	if s.incarnation != m.Target.Incarnation {
 		s = serviceRate{}
@@ -114,6 +120,7 @@
 	p.runsSeen = make(map[string]firstSighting)
 	p.firstSeen = make(map[string]time.Duration)
 	p.lostLogged = make(map[string]bool)
+	p.keptLogged = make(map[string]bool)
 	p.serviceRates = make(map[string]serviceRate)
 	p.wasStopping = make(map[string]bool)
 }
@@ -261,7 +268,7 @@
 // moved.
 func (f *Fleet) owners(service string, now time.Duration) []span.Owner {
 	var owners []span.Owner
-	p, mean := &f.planner, f.planner.meanServiceTime()
+	p, mean, coldRate := &f.planner, f.planner.meanServiceTime(), f.coldRate(service)
 	f.View().Members(func(v Member) {
 		if v.Target == nil || v.Target.Service != service || v.Target.Lost {
 			return
@@ -280,10 +287,12 @@
 		}
 		delete(p.lostLogged, v.Name)
 		owners = append(owners, span.Owner{
-			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean), Leaving: v.Target.Leaving, Stopping: v.Stopping,
+			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean, coldRate), Stopping: v.Stopping,
+			Leaving: f.policy.CheckOwner(service, v.Place()) != place.Allowed,
 			Suspect: v.Name != f.cfg.Name && !p.isAlive(v.Name, now),
 		})
 	})
+	f.leaveEvacuated(service, owners)
 	isStopping := func(o span.Owner) bool { return o.Stopping }
 	if slices.ContainsFunc(owners, isStopping) && span.HasHeadroom(owners, p.load.Total(now)) {
 		for i := range owners {
--- a/fleet/right.go
+++ b/fleet/right.go
@@ -110,7 +110,7 @@
 			err = errEraUnknown
 			return
 		}
-		f.applyListing(items, rev)
+		f.applyListing(items, prefixOwn, rev)
 		f.extendRight(sent, now)
 	})
 	return lease, errors.Join(postErr, err)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"burdocklift/place"
 	"burdocklift/rules"
 	"burdocklift/span"
 )
@@ -10,6 +11,7 @@
 // View is an immutable snapshot of what a node knows about its site.
 type View struct {
 	rules     *rules.Set
+	policy    *place.Policy
 	members   map[string]Member
 	order     []string // names of members, sorted
 	ranges    map[string]span.Map
@@ -19,11 +21,16 @@
 	// vanishedUntil is when records of operators that a restored store lacks cease to apply.
 	vanishedUntil time.Duration
 	changed       chan struct{}
+	// coldFactor and coldSlack are those of Config.
+	coldFactor, coldSlack float64
 }
 
 // Rules returns the rules in force, or nil if none are known yet.
 func (v *View) Rules() *rules.Set { return v.rules }
 
+// Policy returns what restricts the placement of work.
+func (v *View) Policy() *place.Policy { return v.policy }
+
 // Member returns a node by name.
 func (v *View) Member(name string) (Member, bool) {
 	m, ok := v.members[name]
@@ -50,6 +57,17 @@
 	return r, m, ok
 }
 
+// KeyOwners returns the nodes whose targets own keys.
+func (v *View) KeyOwners() map[string]bool {
+	owners := make(map[string]bool)
+	for _, m := range v.ranges {
+		for _, r := range m.Ranges {
+			owners[r.Node] = true
+		}
+	}
+	return owners
+}
+
 // PriorRightsEnd returns the latest end of the revoked rights of a range's earlier owners,
 // after which the owner may hold the range. It reports false while an end is not known.
 func (v *View) PriorRightsEnd(r span.Range) (time.Duration, bool) {
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/client"
 	"burdocklift/fleet"
 	"burdocklift/peer"
 	"burdocklift/proto"
@@ -46,7 +47,7 @@
 	Key        int // -1 without a key
 	Origin     string
 	Service    string
-	Class      string
+	Class      string // name of the route; the target's node looks it up by host and path in its own rules
 	Urgency    int
 	Idempotent bool
 	Remaining  int64 // microseconds until the deadline
@@ -97,7 +98,7 @@
 		}
 	})
 	defer stop()
-	reply, err := peer.Call[forwardedResult](wait, r.cfg.Peers, m.Address, MethodServe, msg)
+	reply, err := r.exchange(wait, j, m, msg)
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
 		return notRun(ReasonCallerGone, 0)
@@ -118,6 +119,10 @@
 		}
 		reply.Reason = ReasonNoResponse
 	}
+	if outcomes[reply.Outcome] == proto.Answered && !client.ValidStatus(reply.Status) {
+		// Nodes of earlier versions pass on whatever status their target sends.
+		return Result{Outcome: proto.Unknown, Reason: ReasonNoResponse, Sends: max(reply.Sends, 1)}
+	}
 	res := Result{
 		Outcome: outcomes[reply.Outcome], Reason: reply.Reason,
 		Response:   Response{Status: reply.Status, Header: reply.Header, Body: reply.Body},
@@ -133,6 +138,11 @@
 	if err := cbor.Unmarshal(body, &msg); err != nil {
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
+	return cbor.Marshal(r.serveForwarded(ctx, msg))
+}
+
+// serveForwarded runs a request of another node on the local target.
+func (r *Router) serveForwarded(ctx context.Context, msg forwardedRequest) forwardedResult {
 	remaining := time.Duration(msg.Remaining) * time.Microsecond
 	j := &job{
 		request: &Request{
@@ -167,7 +177,7 @@
 			out.Outcome = uint8(i)
 		}
 	}
-	return cbor.Marshal(out)
+	return out
 }
 
 // cancelledClass is the class of cancelled requests in metrics.
--- a/serve/poison.go
+++ b/serve/poison.go
@@ -57,6 +57,9 @@
 			slog.String("target", t.Incarnation.Target), slog.Int("known", known.Crashes), slog.Int("own", known.Own),
 			slog.Int("nodes", known.Nodes), slog.Int64("age_ms", known.Age.Milliseconds()))
 	}
+	if crashed {
+		r.forgetColdness(ctx, t.Service)
+	}
 	// A target that listens may still hold keys, so it is not marked as ended.
 	if crashed && r.cfg.Target.NotListening() {
 		eventTargetCrashed.Log(ctx, r.cfg.Log, slog.String("id", j.request.ID), slog.String("target", t.Incarnation.Target))
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -15,6 +15,7 @@
 
 	"burdocklift/clock"
 	"burdocklift/fleet"
+	"burdocklift/nested"
 	"burdocklift/peer"
 	"burdocklift/pick"
 	"burdocklift/poison"
@@ -57,6 +58,7 @@
 	Limit   float64 // requests a second that the target takes from all nodes together; 0 for no limit
 	Limited bool    // the target names a limit
 	Leaving bool    // the target takes no new requests
+	Pace    float64 // present service time as a ratio to the usual one, 0 if the target does not name it
 }
 
 // Errors returned by a Target. After any other error the request may have run.
@@ -115,8 +117,10 @@
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
 	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
 	ReasonTimeout         Reason = "timeout"
-	ReasonCallerGone      Reason = "gone"     // the caller disconnected
-	ReasonStopping        Reason = "stopping" // the target's node stops
+	ReasonCallerGone      Reason = "gone"      // the caller disconnected
+	ReasonStopping        Reason = "stopping"  // the target's node stops
+	ReasonRegion          Reason = "region"    // no target in the regions of the route
+	ReasonEvacuated       Reason = "evacuated" // only targets of evacuated data centres may run the request
 	// ReasonQuarantined means that the request has crashed targets, or may
 	// have.
 	ReasonQuarantined Reason = "quarantined"
@@ -165,10 +169,14 @@
 	limit     targetLimit
 	leaving   departures
 	sizes     answerSizes
+	latencies *pick.Latencies
+	exchanged [pick.PathCount]atomic.Int64 // bytes of forwarded requests and their results, by path
+	nested    nested.Detector
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
 	drain        atomic.Int64 // drain period, a time.Duration
+	slow         atomic.Bool  // the local target takes much longer than usual
 	stopping     atomic.Bool  // refuses requests of other nodes
 	closed       atomic.Bool  // refuses requests of callers
 	end          atomic.Int64 // no request runs beyond this time.Duration on the clock, 0 for no end
@@ -182,19 +190,23 @@
 	pickers     map[string]*pick.Picker  // by service
 	retries     map[string]retryPolicies // by service
 	incarnation span.Incarnation         // of the target, for which admission control was last reset
+	evacuated   []string                 // data centres with metrics of an evacuation
 }
 
 // New returns a Router and registers its handlers.
 func New(cfg Config) *Router {
 	r := &Router{
 		cfg: cfg, splits: make(map[string]*trafficSplit), pickers: make(map[string]*pick.Picker),
-		retries: make(map[string]retryPolicies),
+		retries: make(map[string]retryPolicies), latencies: pick.NewLatencies(cfg.DataCentre, cfg.Region),
 	}
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
+	r.admission.FollowCold(r.coldLimit, cfg.Clock.Elapsed())
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
+	cfg.Peers.Handle(MethodServeTerse, r.handleServeTerse)
+	cfg.Peers.Announce(acceptsTerse)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
 	return r
 }
@@ -206,12 +218,15 @@
 	r.stats.SetGauge("requests_running", int64(running))
 	r.stats.SetGauge("requests_waiting", int64(waiting))
 	r.stats.SetGauge("slots_limit", int64(limit))
+	r.setColdGauges()
 	overload := int64(0)
 	if r.admission.OverloadLasts() {
 		overload = 1
 	}
 	r.stats.SetGauge("overload_lasts", overload)
 	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
+	r.setUnevenGauges()
+	r.setEvacuationGauges()
 	return &r.stats
 }
 
