--- a/cmds/agent_test.go
+++ b/cmds/agent_test.go
@@ -35,6 +35,7 @@
 	caller  string // address for callers
 	beats   string // address for heartbeats
 	target  string // address of the target
+	peers   string // address for other nodes
 
 	mu     sync.Mutex
 	lives  int
@@ -68,6 +69,7 @@
 	slices.SortFunc(ports, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), strings.Compare(a, b)) })
 	p := &agentProcess{
 		name: name, service: service, file: filepath.Join(t.TempDir(), name+".toml"), caller: a[0], beats: a[2], target: target,
+		peers: "127.0.0.1:" + ports[0],
 	}
 	text := fmt.Sprintf("name = %q\ndata_centre = \"d\"\nregion = \"r\"\nstore = %q\nmemory = %d\n"+
 		"target = { service = %q, address = %q }\n"+
