budget, agent, peer, client, serve: one account for the memory of messages, and bounds on connections

Cause: bodies, frames and heads were read without regard to the memory of the process, and connections without regard to its descriptors; an accept error for lack of descriptors ended the process. Change: package budget; bodies reserve before they are read, slow ones give way, new ones wait or get 503; large bodies are forwarded without copies, on a connection of their own; connections are bounded; paces of bodies and answers.

--- /dev/null
+++ b/agent/accept.go
@@ -0,0 +1,204 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"burdocklift/budget"
+	"burdocklift/clock"
+	"burdocklift/peer"
+)
+
+const (
+	// connBytes is the memory in bytes that a connection takes: two buffers of 4 KiB, the
+	// stacks of its goroutines, and a head of 16 KiB.
+	connBytes = 32 << 10
+	// connMemoryShare is the part of the account for messages that connections of callers
+	// may take.
+	connMemoryShare = 4
+	// callerFileShare, targetFileShare and peerFileShare (in eighths) are the parts of the
+	// descriptors for connections of callers, to the target and of other nodes. The rest is
+	// for connections to other nodes and to the store, and for probes.
+	callerFileShare = 4
+	targetFileShare = 8
+	peerFileEighths = 3
+	// innerConnections bounds the connections of the target's heartbeats, of probes and of
+	// readers of metrics, for each of the three. They use one or two.
+	innerConnections = 32
+	// fewConnections is the least bound on connections, for hosts with few descriptors.
+	fewConnections = 16
+	// acceptPause is the time after which a listener accepts again when no descriptor was
+	// left.
+	acceptPause = 50 * time.Millisecond
+)
+
+// files returns the descriptor limit of this process.
+func files() (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, fmt.Errorf("read the descriptor limit: %w", err)
+	}
+	return int(min(limit.Cur, 1<<20)), nil
+}
+
+// limitedListener accepts a limited number of connections. When there are too many, the one
+// that has waited the longest for a request to begin or to be read gives way, else the new
+// one is closed.
+type limitedListener struct {
+	net.Listener
+	clock     clock.Clock
+	account   *budget.Account
+	max       int
+	perClient int
+	refused   func(error)
+
+	mu      sync.Mutex
+	conns   map[*limitedConn]struct{}
+	clients map[netip.Addr]int
+	dropped int64 // connections that were closed for others, or refused
+}
+
+// limitedConn is an accepted connection.
+type limitedConn struct {
+	*net.TCPConn
+	listener *limitedListener
+	client   netip.Addr
+	hold     *budget.Hold
+	close    sync.Once
+
+	// Guarded by the lock of the listener.
+	idle  bool // no request is served
+	since time.Duration
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if peer.Exhausted(err) {
+			l.refused(err)
+			l.dropIdlest(func(*limitedConn) bool { return true })
+			time.Sleep(acceptPause)
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := raw.(*net.TCPConn)
+		if !ok {
+			return nil, fmt.Errorf("connection of %s is no TCP connection", raw.RemoteAddr())
+		}
+		c, err := l.admit(tcp)
+		if err == nil {
+			return c, nil
+		}
+		l.refused(err)
+		_ = tcp.Close() // nothing was sent on it
+	}
+}
+
+// admit makes room for a connection.
+func (l *limitedListener) admit(raw *net.TCPConn) (*limitedConn, error) {
+	client, err := netip.ParseAddrPort(raw.RemoteAddr().String())
+	if err != nil {
+		return nil, fmt.Errorf("address of a client: %w", err)
+	}
+	c := &limitedConn{TCPConn: raw, listener: l, client: client.Addr(), hold: l.account.Open(), idle: true, since: l.clock.Elapsed()}
+	l.mu.Lock()
+	count, own := len(l.conns), l.clients[c.client]
+	l.mu.Unlock()
+	switch {
+	case own >= l.perClient && !l.dropIdlest(func(o *limitedConn) bool { return o.client == c.client }):
+		return nil, fmt.Errorf("%w: %d of %s", peer.ErrConnections, own, c.client)
+	case own < l.perClient && count >= l.max && !l.dropIdlest(func(*limitedConn) bool { return true }):
+		return nil, fmt.Errorf("%w: %d on %s", peer.ErrConnections, count, l.Addr())
+	}
+	c.hold.Force(connBytes) // the number of connections is bounded
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conns == nil {
+		l.conns, l.clients = make(map[*limitedConn]struct{}), make(map[netip.Addr]int)
+	}
+	l.conns[c] = struct{}{}
+	l.clients[c.client]++
+	return c, nil
+}
+
+// dropIdlest closes the connection that has waited the longest of those that may be
+// closed, and reports whether there was one.
+func (l *limitedListener) dropIdlest(may func(*limitedConn) bool) bool {
+	l.mu.Lock()
+	l.dropped++
+	var idlest *limitedConn
+	for c := range l.conns {
+		if c.idle && may(c) && (idlest == nil || c.since < idlest.since) {
+			idlest = c
+		}
+	}
+	l.mu.Unlock()
+	if idlest == nil {
+		return false
+	}
+	_ = idlest.Close() // the server sees that it is closed
+	return true
+}
+
+// load returns the number of open connections, and of those that were dropped or refused.
+func (l *limitedListener) load() (open int, dropped int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns), l.dropped
+}
+
+// observe is a function for http.Server.ConnState. A connection whose request is being read
+// stays idle until serving is called.
+func (l *limitedListener) observe(raw net.Conn, s http.ConnState) {
+	c, ok := raw.(*limitedConn)
+	if !ok || s != http.StateIdle {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.idle, c.since = true, l.clock.Elapsed()
+}
+
+type limitedConnKey struct{}
+
+// serving tells that the request of a context has been read.
+func serving(ctx context.Context) {
+	c, ok := ctx.Value(limitedConnKey{}).(*limitedConn)
+	if !ok {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.idle = false
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.close.Do(func() {
+		l := c.listener
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.conns, c)
+		if l.clients[c.client]--; l.clients[c.client] == 0 {
+			delete(l.clients, c.client)
+		}
+		c.hold.Close()
+	})
+	err := c.TCPConn.Close()
+	if errors.Is(err, syscall.ENOTCONN) {
+		return nil
+	}
+	return err
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,9 +11,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"burdocklift/budget"
 	"burdocklift/clock"
 	"burdocklift/conf"
 	"burdocklift/fleet"
@@ -45,6 +49,9 @@
 	// responseMemoryShare is the part of a node's memory for responses that are read
 	// from its target. A response is copied twice on its way to another node.
 	responseMemoryShare = 8
+	// memoryRetryAfter is the retry-after of a request for which there is no memory: slow
+	// clients give way after a second without progress.
+	memoryRetryAfter = time.Second
 	// exitMargin is the part of the configured stop time that is left for the exit
 	// of the process.
 	exitMargin = 500 * time.Millisecond
@@ -59,9 +66,13 @@
 	fleet       *fleet.Fleet
 	router      *serve.Router
 	callers     *httpService
+	listener    *limitedListener // of callers
+	account     *budget.Account
+	pace        pace
 	uplink      *uplink.Scheduler
 	reloader    *reloader
 	inputErrors errorLog
+	refusals    errorLog // of clients and connections over the limits
 	stopping    atomic.Bool
 	inFlight    gauge // requests of callers
 }
@@ -74,10 +85,19 @@
 // New opens the listeners of a node and registers its services. Run reloads the
 // settings from the path when the file changes.
 func New(s conf.Agent, path string, c clock.Clock, log *slog.Logger) (*Agent, error) {
-	a := &Agent{settings: s, clock: c, log: log, inputErrors: errorLog{clock: c, log: log}}
+	a := &Agent{settings: s, clock: c, log: log, inputErrors: errorLog{clock: c, log: log}, refusals: errorLog{clock: c, log: log}}
 	a.reloader = &reloader{path: path, clock: c, log: log, initial: s, lastRead: s, apply: a.apply}
 	a.uplink = uplink.New(s.Limits.Link, c)
+	a.account = budget.New(budget.Size(s.Memory), c)
+	a.pace = pace{clock: c, pause: s.Limits.Pause, rate: s.Limits.Rate}
+	descriptors, err := files()
+	if err != nil {
+		return nil, err
+	}
 	peers := peer.New(c)
+	peers.SetLimits(a.account, max(descriptors*peerFileEighths/8, fewConnections), func(reason error) {
+		a.refusals.report(context.Background(), eventConnectionRefused, s.Addresses.Internal(), reason)
+	})
 	peers.SetUplink(a.uplink)
 	peers.OnPanic(func(m peer.Method, reason any, stack []byte) {
 		eventHandlerPanicked.Log(context.Background(), log, slog.Int("method", int(m)), slog.Any("reason", reason), slog.String("stack", string(stack)))
@@ -92,9 +112,11 @@
 		RulesKey: platform.RulesKey, Rules: platform.DecodeRules,
 	})
 	ledger.SetRelays(a.fleet.PeerAddresses)
+	target := platform.NewTarget(s.Target.Address, int64(s.Memory)<<20/responseMemoryShare, c)
+	target.SetLimit(max(descriptors/targetFileShare, fewConnections))
 	a.router = serve.New(serve.Config{
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region,
-		Fleet: a.fleet, Peers: peers, Target: platform.NewTarget(s.Target.Address, int64(s.Memory)<<20/responseMemoryShare, c), Clock: c, Log: log,
+		Fleet: a.fleet, Peers: peers, Target: target, Clock: c, Log: log,
 		RetryRatio: s.Limits.Ratio, RetrySlack: s.Limits.Slack, DrainPeriod: s.Limits.Drain,
 		Uplink: a.uplink,
 	})
@@ -103,7 +125,6 @@
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("GET /metrics", a.metrics)
 	var listeners []net.Listener
-	var err error
 	open := func(address string) net.Listener {
 		l, lerr := net.Listen("tcp", address)
 		if lerr != nil {
@@ -113,7 +134,18 @@
 		listeners = append(listeners, l)
 		return l
 	}
-	a.callers = &httpService{listener: open(s.Addresses.Caller), handler: http.HandlerFunc(a.serveCaller)}
+	limited := func(address string, most, perClient int) *limitedListener {
+		return &limitedListener{
+			Listener: open(address), clock: c, account: a.account, max: most, perClient: perClient,
+			refused: func(reason error) { a.refusals.report(context.Background(), eventConnectionRefused, address, reason) },
+		}
+	}
+	most, perClient := callerConnections(s, descriptors)
+	a.listener = limited(s.Addresses.Caller, most, perClient)
+	a.callers = &httpService{listener: a.listener, handler: http.HandlerFunc(a.serveCaller), header: s.Limits.Header}
+	inner := func(address string, h http.Handler) *httpService {
+		return &httpService{listener: limited(address, innerConnections, innerConnections), handler: h, header: s.Limits.Header}
+	}
 	internal := open(s.Addresses.Internal())
 	services := []struct {
 		name    string
@@ -121,10 +153,10 @@
 	}{
 		{"peers", runFunc(func(ctx context.Context) error { return peers.Run(ctx, internal) })},
 		{"fleet", a.fleet},
-		{"target", &httpService{listener: open(s.Addresses.Target), handler: a.targetHandler()}},
+		{"target", inner(s.Addresses.Target, a.targetHandler())},
 		{"callers", a.callers},
-		{"ready", &httpService{listener: open(s.Addresses.Ready), handler: ready}},
-		{"metrics", &httpService{listener: open(s.Addresses.Metrics()), handler: metrics}},
+		{"ready", inner(s.Addresses.Ready, ready)},
+		{"metrics", inner(s.Addresses.Metrics(), metrics)},
 		{"settings", a.reloader},
 	}
 	for _, sv := range services {
@@ -139,6 +171,14 @@
 	return a, nil
 }
 
+// callerConnections returns the bound on connections of callers, and on those of a single
+// address.
+func callerConnections(s conf.Agent, descriptors int) (all, perClient int) {
+	byMemory := int(budget.Size(s.Memory) / connMemoryShare / connBytes)
+	all = cmp.Or(s.Limits.Connections, max(min(descriptors/callerFileShare, byMemory), fewConnections))
+	return all, cmp.Or(s.Limits.ClientConnections, max(all*3/4, 1))
+}
+
 // targetHandler returns the handler for the target's heartbeats.
 func (a *Agent) targetHandler() http.Handler {
 	return platform.TargetHandler(a.fleet, a.settings.Target.Service, a.clock, func(id string, reason error) {
@@ -207,12 +247,52 @@
 // metrics serves counters and latency histograms as JSON.
 func (a *Agent) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	a.recordLimits()
 	if err := json.NewEncoder(w).Encode(a.router.Metrics()); err != nil {
 		a.log.Warn("metrics not delivered", "error", err)
 	}
 }
 
+// recordLimits sets the gauges of memory and connections.
+func (a *Agent) recordLimits() {
+	set, usage := a.router.Metrics(), a.account.Usage()
+	open, dropped := a.listener.load()
+	for name, value := range map[string]int64{
+		"memory_size": usage.Size, "memory_used": usage.Used, "memory_peak": usage.Peak,
+		"memory_refused": usage.Refused, "memory_evicted": usage.Evicted,
+		"connections_callers": int64(open), "connections_callers_dropped": dropped,
+	} {
+		set.SetGauge(name, value)
+	}
+}
+
+// refuseCall answers a request that was not read as a whole. It has not run.
+func (a *Agent) refuseCall(w http.ResponseWriter, req *http.Request, id string, reason error) {
+	status, e := http.StatusBadRequest, eventCallRefused
+	switch {
+	case errors.Is(reason, platform.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(reason, budget.ErrExhausted), errors.Is(reason, budget.ErrEvicted):
+		status, e = http.StatusServiceUnavailable, eventMemoryRefused
+		w.Header().Set("Retry-After", strconv.FormatFloat(memoryRetryAfter.Seconds(), 'f', 3, 64))
+		reason = budget.ErrExhausted // one line a minute for all
+	case errors.Is(reason, errSlow), errors.Is(reason, os.ErrDeadlineExceeded):
+		status, e = http.StatusRequestTimeout, eventSlowClient
+		reason = errSlow
+	}
+	a.refusals.report(req.Context(), e, id, reason)
+	w.Header().Set("Connection", "close")
+	control := http.NewResponseController(w)
+	err := errors.Join(control.SetReadDeadline(time.Now().Add(refusalTime)), control.SetWriteDeadline(time.Now().Add(refusalTime)))
+	if err != nil {
+		eventAnswerNotDelivered.Log(req.Context(), a.log, slog.String("id", id), slog.String("error", err.Error()))
+		return
+	}
+	http.Error(w, reason.Error(), status)
+}
+
 func (a *Agent) serveCaller(w http.ResponseWriter, req *http.Request) {
+	serving(req.Context())
 	a.inFlight.add()
 	defer a.inFlight.done()
 	limit := defaultMaxBodyBytes
@@ -222,21 +302,42 @@
 	if a.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	control := http.NewResponseController(w)
+	hold := a.account.Open()
+	defer hold.Close()
+	req = req.WithContext(budget.With(req.Context(), hold))
+	if req.Body != http.NoBody {
+		req.Body = &pacedBody{ReadCloser: req.Body, pace: a.pace, control: control, hold: hold, began: a.clock.Elapsed()}
+		hold.Begin(func() { _ = control.SetReadDeadline(time.Now()) }) // fails only if the connection is closed
+	}
 	r, err := platform.DecodeRequest(req, a.settings.Target.Service, limit)
+	if endErr := hold.End(); endErr != nil {
+		err = endErr
+	}
+	if err == nil && req.Body != http.NoBody {
+		err = control.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
-		status := http.StatusBadRequest
-		if errors.Is(err, platform.ErrTooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		a.inputErrors.report(req.Context(), eventCallRefused, r.ID, err)
-		http.Error(w, err.Error(), status)
+		a.refuseCall(w, req, r.ID, err)
 		return
 	}
 	r.Left = func() bool { return hangup.Closed(req.Context()) }
 	ctx, stop := hangup.Watch(req.Context(), a.clock)
 	defer stop()
-	paced := pacedWriter{ResponseWriter: w, ctx: req.Context(), uplink: a.uplink}
-	if err := platform.WriteResult(paced, r.ID, a.router.Serve(ctx, r)); err != nil {
+	res := a.router.Serve(ctx, r)
+	answer := &pacedAnswer{ResponseWriter: w, pace: a.pace, control: control, hold: hold, began: a.clock.Elapsed()}
+	hold.Begin(func() { _ = control.SetWriteDeadline(time.Now()) }) // fails only if the connection is closed
+	paced := pacedWriter{ResponseWriter: answer, ctx: req.Context(), uplink: a.uplink}
+	// Also for an answer without a body: the deadline of the one before may have passed.
+	err = control.SetWriteDeadline(time.Now().Add(a.pace.pause))
+	err = errors.Join(err, platform.WriteResult(paced, r.ID, res))
+	if endErr := hold.End(); endErr != nil {
+		a.refusals.report(req.Context(), eventMemoryRefused, r.ID, endErr)
+	}
+	if errors.Is(err, errSlow) || errors.Is(err, os.ErrDeadlineExceeded) {
+		a.refusals.report(req.Context(), eventSlowClient, r.ID, errSlow)
+	}
+	if err != nil {
 		eventAnswerNotDelivered.Log(req.Context(), a.log, slog.String("id", r.ID), slog.String("error", err.Error()))
 	}
 }
--- a/agent/event.go
+++ b/agent/event.go
@@ -31,6 +31,16 @@
 	eventAnswerNotDelivered = event.Define(3101, "answer not delivered", slog.LevelInfo,
 		"A caller closed its connection before its response was written.",
 		"None.")
+	eventMemoryRefused = event.Define(3109, "no memory for a request", slog.LevelWarn,
+		"The memory for messages is used up, so that a request was refused, or a slow client gave way to others. Logged at most once a minute.",
+		"Look at memory_used, memory_evicted and connections_callers in the metrics, and for clients that send or read slowly.")
+	eventConnectionRefused = event.Define(3110, "connection refused", slog.LevelWarn,
+		"There are too many connections, or no descriptor is left. Idle ones are closed for new ones; the new one was closed if there are none. "+
+			"Logged at most once a minute for each address that listens.",
+		"Find the client that opens them. Raise limits.connections or the descriptor limit if it is a usual caller.")
+	eventSlowClient = event.Define(3111, "slow client", slog.LevelInfo,
+		"A client sent its request or read its answer more slowly than limits.pause and limits.rate allow. Logged at most once a minute.",
+		"Tell the owner of the client.")
 	eventHandlerPanicked = event.Define(3108, "handler panicked", slog.LevelError,
 		"The handler of a call of another node ended with a panic. That call and the others on its connection fail; the node goes on.",
 		"Report the line with its stack to the developers.")
--- a/agent/service.go
+++ b/agent/service.go
@@ -14,6 +14,7 @@
 type httpService struct {
 	listener net.Listener
 	handler  http.Handler
+	header   int // bound on the request line and headers in bytes
 
 	once sync.Once
 	http *http.Server
@@ -23,7 +24,13 @@
 	s.once.Do(func() {
 		s.http = &http.Server{
 			Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-			ConnContext: hangup.ConnContext,
+			MaxHeaderBytes: s.header,
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return hangup.ConnContext(context.WithValue(ctx, limitedConnKey{}, c), c)
+			},
+		}
+		if l, ok := s.listener.(*limitedListener); ok {
+			s.http.ConnState = l.observe
 		}
 	})
 	return s.http
--- a/client/client.go
+++ b/client/client.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"burdocklift/budget"
 	"burdocklift/clock"
 )
 
@@ -76,7 +77,9 @@
 	clock    clock.Clock
 	bodies   bodyBudget
 
+	limit  int // connections, 0 for no limit
 	mu     sync.Mutex
+	open   int // connections that are used
 	idle   []*conn
 	closed bool
 }
@@ -96,6 +99,34 @@
 	past   []string      // IDs of all requests that were answered on it
 }
 
+// errConnections means that as many connections are in use as may be.
+var errConnections = errors.New("too many connections to the target")
+
+// SetLimit sets how many connections may be in use. It must be called before Do.
+func (p *Pool) SetLimit(conns int) { p.limit = conns }
+
+// enter counts a connection in use, and reports whether it may be used. Idle connections
+// that are too many are closed.
+func (p *Pool) enter() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.limit > 0 && p.open >= p.limit {
+		return false
+	}
+	p.open++
+	for p.limit > 0 && len(p.idle) > 0 && p.open+len(p.idle) > p.limit+1 {
+		_ = p.idle[0].Close() // nothing is under way on it
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+	return true
+}
+
+func (p *Pool) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
 // Close closes the idle connections; the others close after their exchange.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -191,6 +222,10 @@
 	if err := ctx.Err(); err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if !p.enter() {
+		return Answer{}, fmt.Errorf("%w: %w: %d", ErrNotSent, errConnections, p.limit)
+	}
+	defer p.leave()
 	c := p.take(r.ID)
 	if c == nil {
 		var err error
@@ -199,7 +234,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	a, keep, err := p.exchange(c, r)
+	a, keep, err := p.exchange(ctx, c, r)
 	if !stop() && err == nil && keep {
 		keep = false
 	}
@@ -216,8 +251,8 @@
 
 // exchange sends the request and reads the answer to it. It reports whether
 // the connection may be used again.
-func (p *Pool) exchange(c *conn, r *Request) (Answer, bool, error) {
-	if _, err := c.Write(r.encode()); err != nil {
+func (p *Pool) exchange(ctx context.Context, c *conn, r *Request) (Answer, bool, error) {
+	if err := r.writeTo(c); err != nil {
 		return Answer{}, false, fmt.Errorf("%w: %w", ErrUnclear, err)
 	}
 	for range maxStrays {
@@ -228,7 +263,7 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		body, err := p.bodies.readBody(resp, func() { _ = c.Close() })
+		body, err := p.bodies.readBody(resp, budget.From(ctx), func() { _ = c.Close() })
 		if err != nil {
 			return Answer{}, false, readError(err)
 		}
@@ -269,10 +304,28 @@
 	return idleTime
 }
 
-// encode writes the request in one piece, with the length of the body.
-func (r *Request) encode() []byte {
+// copiedBody is the size in bytes up to which a body is copied behind the head, so that both
+// are sent in one write.
+const copiedBody = 16 << 10
+
+// writeTo sends the request without a copy of a large body.
+func (r *Request) writeTo(w io.Writer) error {
+	head := r.encodeHead()
+	if len(r.Body) <= copiedBody {
+		_, err := w.Write(append(head, r.Body...))
+		return err
+	}
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	_, err := w.Write(r.Body)
+	return err
+}
+
+// encodeHead returns the head of the request with the length of the body.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), copiedBody))
 	b.WriteString(r.Method + " " + r.Path + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -283,7 +336,6 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/client/limit.go
+++ b/client/limit.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"burdocklift/budget"
 )
 
 // ErrTooLarge means that an answer is longer than this side can hold. It comes
@@ -67,8 +69,9 @@
 
 // bodyRead is a body that is being read.
 type bodyRead struct {
-	measured bool   // its length was stated
-	abort    func() // ends the reading
+	measured bool         // its length was stated
+	abort    func()       // ends the reading
+	hold     *budget.Hold // of the request, which keeps the memory until the answer was passed on
 	reserved int64
 	evicted  bool // its part went to another body
 }
@@ -132,12 +135,12 @@
 // readBody reads the body of an answer to its end. The buffer grows with the bytes
 // that have arrived, whatever length the answer claims. The function abort makes reading
 // fail.
-func (b *bodyBudget) readBody(r *http.Response, abort func()) ([]byte, error) {
+func (b *bodyBudget) readBody(r *http.Response, hold *budget.Hold, abort func()) ([]byte, error) {
 	limit := min(max(b.size/largestShare, smallBody), maxBody)
 	if r.Body != http.NoBody && r.ContentLength > limit {
 		return nil, fmt.Errorf("%w: length %d, at most %d bytes are accepted", ErrTooLarge, r.ContentLength, limit)
 	}
-	read := &bodyRead{measured: r.ContentLength >= 0, abort: abort}
+	read := &bodyRead{measured: r.ContentLength >= 0, abort: abort, hold: hold}
 	body, err := b.readAll(r.Body, read, limit)
 	if b.release(read) {
 		return nil, fmt.Errorf("%w: memory for more than %d bytes went to other answers", ErrTooLarge, len(body))
@@ -157,6 +160,9 @@
 			if size > smallBody && !b.reserve(read, size-smallBody) {
 				return out, fmt.Errorf("%w: no memory for more than %d bytes", ErrTooLarge, len(out))
 			}
+			if err := read.hold.Grow(size-int64(cap(out)), budget.Answer); err != nil {
+				return out, fmt.Errorf("%w: %w", ErrTooLarge, err)
+			}
 			out = append(make([]byte, 0, size), out...)
 		}
 		n, err := body.Read(out[len(out):cap(out)])
--- a/cmds/agent.go
+++ b/cmds/agent.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"burdocklift/agent"
+	"burdocklift/budget"
 	"burdocklift/clock"
 	"burdocklift/conf"
 	"burdocklift/event"
@@ -27,10 +28,6 @@
   burdocklift agent /etc/burdocklift/settings.toml`
 }
 
-// memoryShare is the part of a process's memory that the heap may fill before
-// the collector works harder. The rest is for stacks and the runtime.
-const memoryShare = 0.7
-
 func (c *agentCommand) Run(e *environment) error {
 	path := c.Settings
 	if path == "" {
@@ -44,7 +41,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUsage, err)
 	}
-	debug.SetMemoryLimit(int64(float64(settings.Memory<<20) * memoryShare))
+	debug.SetMemoryLimit(budget.HeapLimit(settings.Memory))
 	lines := event.NewAsync(e.stdout, clockwork.NewRealClock())
 	defer lines.Close()
 	log, err := event.NewLogger(lines, event.Options{Format: settings.Log.Format, Level: settings.Log.Level})
--- a/conf/agent.go
+++ b/conf/agent.go
@@ -41,12 +41,21 @@
 	// Evacuation is the time from the acknowledgement of an evacuation until no request
 	// reaches targets of the data centre.
 	Evacuation time.Duration `toml:"evacuation"`
+	// Bounds on clients.
+	Header            int           `toml:"header"`             // request line and headers of a request, in bytes
+	Connections       int           `toml:"connections"`        // of callers, 0 for a number by memory and descriptors
+	ClientConnections int           `toml:"client_connections"` // of one address of callers, 0 for three quarters of all
+	Pause             time.Duration `toml:"pause"`              // in which nothing of a body or an answer moves
+	Rate              int           `toml:"rate"`               // least mean rate of a body or an answer, in bytes a second
 }
 
 // defaultLimits are the bounds of the first two sites.
 var defaultLimits = AgentLimits{
 	Drain: 2 * time.Second, Stop: 6 * time.Second, Hold: 10 * time.Second, Ratio: 0.1, Slack: 10,
 	ColdFactor: 1, Evacuation: 5 * time.Second,
+	// Heads of the platform have 16 KiB at most; net/http counts a little more than them. A
+	// body of 64 MiB takes a minute at 10 Mbit/s, a thousand times the rate.
+	Header: 20 << 10, Pause: 30 * time.Second, Rate: 1 << 10,
 }
 
 // AgentTarget is the target beside the node.
@@ -117,6 +126,14 @@
 	if f := s.Limits.ColdSlack; !(f >= 0 && f <= maxColdSlack) {
 		c.add("limits.cold_slack", "%v is out of range, must be from 0 to %v", f, maxColdSlack)
 	}
+	c.between("limits.header", s.Limits.Header, minHeader, 1<<20)
+	c.between("limits.connections", s.Limits.Connections, 0, 1<<20)
+	c.between("limits.client_connections", s.Limits.ClientConnections, 0, 1<<20)
+	if all := s.Limits.Connections; all > 0 && s.Limits.ClientConnections > all {
+		c.add("limits.client_connections", "%d is more than limits.connections, which is %d", s.Limits.ClientConnections, all)
+	}
+	c.duration("limits.pause", s.Limits.Pause, time.Second, 10*time.Minute)
+	c.between("limits.rate", s.Limits.Rate, 0, 1<<20)
 	c.duration("limits.evacuation", s.Limits.Evacuation, time.Second, time.Minute)
 	for _, dc := range slices.Sorted(maps.Keys(s.Regions)) {
 		c.word("regions."+dc, s.Regions[dc], false)
@@ -138,6 +155,10 @@
 // minHold is the longest hold that nodes grant.
 const minHold = 2500 * time.Millisecond
 
+// minHeader is the least bound on the head of a request in bytes: callers send an id, a
+// deadline, a key and their own headers.
+const minHeader = 4 << 10
+
 // maxLink is the greatest rate of a link in Mbit/s.
 const maxLink = 1e6
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -12,6 +12,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"burdocklift/budget"
 	"burdocklift/uplink"
 )
 
@@ -27,14 +28,17 @@
 	pending      map[uint64]*pendingCall       // calls of this side
 	cancels      map[uint64]context.CancelFunc // calls of the other side
 	lastReceived time.Duration                 // time of the last frame
-	lastSent     time.Duration                 // time of the last frame to the other side
+	lastSent     time.Duration                 // time of the last piece of a frame to the other side
+	lastLarge    time.Duration                 // when the last large frame to the other side began or ended
+	sendingLarge bool                          // a large frame is being written
 	pongPending  bool                          // a ping has not been answered yet
 	sendsParts   bool                          // the other side accepts replies in parts
 }
 
 // pendingCall is a call without a complete reply.
 type pendingCall struct {
-	reply chan []byte
+	reply chan []byte // closed if there was no memory for the reply
+	hold  *budget.Hold
 	parts []byte // of the reply
 }
 
@@ -73,30 +77,45 @@
 
 // write writes a frame. The caller holds the token.
 func (c *conn) write(f frame) error {
-	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	large := f.size() > initialBody
+	if large {
+		c.setSendingLarge(true)
+		defer c.setSendingLarge(false)
 	}
-	if _, err := c.raw.Write(f.appendTo(nil)); err != nil {
-		c.close(err)
-		return err
+	for _, piece := range f.pieces() {
+		if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := c.raw.Write(piece); err != nil {
+			c.close(err)
+			return err
+		}
+		c.mu.Lock()
+		c.lastSent = c.transport.clock.Elapsed()
+		c.mu.Unlock()
 	}
-	if len(f.body) <= uplink.LargeBytes && f.kind != framePart {
-		c.transport.uplink.Count(len(f.body))
+	if f.size() <= uplink.LargeBytes && f.kind != framePart {
+		c.transport.uplink.Count(f.size())
 	}
+	return nil
+}
+
+// setSendingLarge tells that a large frame is being written, behind which pings wait.
+func (c *conn) setSendingLarge(sending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastSent = c.transport.clock.Elapsed()
-	return nil
+	c.sendingLarge = sending
+	c.lastLarge = c.transport.clock.Elapsed()
 }
 
 // sendCall sends a call. A large one waits until the link is free for it.
 func (c *conn) sendCall(ctx context.Context, f frame) error {
-	if len(f.body) <= uplink.LargeBytes {
+	if f.size() <= uplink.LargeBytes {
 		return c.send(ctx, f)
 	}
-	t := c.transport.uplink.Begin(len(f.body))
+	t := c.transport.uplink.Begin(f.size())
 	defer t.End()
-	if err := t.Await(ctx, len(f.body)); err != nil {
+	if err := t.Await(ctx, f.size()); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return c.send(ctx, f)
@@ -132,6 +151,17 @@
 }
 
 func (c *conn) call(ctx context.Context, m Method, body []byte) ([]byte, error) {
+	return c.callFrame(ctx, frame{kind: frameCall, method: m, body: body})
+}
+
+// callFrame makes the call of a frame. The memory of its reply is kept by the hold in the
+// context, if there is one.
+func (c *conn) callFrame(ctx context.Context, f frame) ([]byte, error) {
+	hold := budget.From(ctx)
+	if hold == nil {
+		hold = c.transport.account.Open()
+		defer hold.Close()
+	}
 	reply := make(chan []byte, 1)
 	c.mu.Lock()
 	if len(c.pending) == 0 {
@@ -139,14 +169,15 @@
 	}
 	c.lastStream++
 	stream := c.lastStream
-	c.pending[stream] = &pendingCall{reply: reply}
+	c.pending[stream] = &pendingCall{reply: reply, hold: hold}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
 		delete(c.pending, stream)
 		c.mu.Unlock()
 	}()
-	err := c.sendCall(ctx, frame{kind: frameCall, method: m, stream: stream, body: body})
+	f.stream = stream
+	err := c.sendCall(ctx, f)
 	switch {
 	case errors.Is(err, ErrNotSent):
 		return nil, err
@@ -154,7 +185,10 @@
 		return nil, fmt.Errorf("%w: %w", ErrNoReply, err)
 	}
 	select {
-	case b := <-reply:
+	case b, ok := <-reply:
+		if !ok {
+			return nil, fmt.Errorf("%w: %w", ErrNoReply, budget.ErrExhausted)
+		}
 		return b, nil
 	case <-c.tomb.Dying():
 		return nil, fmt.Errorf("%w: connection lost: %w", ErrNoReply, c.tomb.Err())
@@ -170,13 +204,13 @@
 // pending and nothing was received for too long.
 func (c *conn) checkLiveness() {
 	c.mu.Lock()
-	idle := c.transport.clock.Elapsed() - c.lastReceived
+	idle := c.transport.clock.Elapsed() - max(c.lastReceived, c.lastLarge)
 	hasPending := len(c.pending) > 0
 	c.mu.Unlock()
 	if !hasPending || idle < pingIdleTime {
 		return
 	}
-	if idle > closeIdleTime {
+	if idle > closeIdleTime && !c.sendsLarge() {
 		c.close(errors.New("nothing received from the other node for too long"))
 		return
 	}
@@ -193,15 +227,14 @@
 	defer c.cancelAll()
 	r := bufio.NewReader(c.raw)
 	for {
-		f, err := readFrame(r)
+		f, hold, err := c.receive(r)
 		if err != nil {
+			hold.Close()
 			_ = c.raw.Close() // replies can no longer be received
 			return err
 		}
-		c.mu.Lock()
-		c.lastReceived = c.transport.clock.Elapsed()
-		c.mu.Unlock()
-		c.handle(f)
+		c.noteReceived()
+		c.handle(f, hold)
 	}
 }
 
@@ -226,14 +259,18 @@
 	}
 }
 
-func (c *conn) handle(f frame) {
+func (c *conn) handle(f frame, hold *budget.Hold) {
 	switch f.kind {
 	case frameCall:
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(budget.With(context.Background(), hold))
 		c.mu.Lock()
 		c.cancels[f.stream] = cancel
 		c.mu.Unlock()
-		c.tomb.Go(func() error { c.serve(ctx, f); return nil })
+		c.tomb.Go(func() error {
+			defer hold.Close()
+			c.serve(ctx, f)
+			return nil
+		})
 	case frameReply:
 		c.mu.Lock()
 		p := c.pending[f.stream]
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -37,40 +37,79 @@
 	method Method // of a call
 	stream uint64 // ID of the call that the frame belongs to
 	body   []byte
+	more   [][]byte // pieces of the body behind it, of a frame to be sent
 }
 
-func (f frame) appendTo(b []byte) []byte {
+// size returns the length of the body.
+func (f frame) size() int {
+	n := len(f.body)
+	for _, b := range f.more {
+		n += len(b)
+	}
+	return n
+}
+
+func (f frame) appendHead(b []byte) []byte {
 	b = append(b, byte(f.kind), byte(f.method))
 	b = binary.AppendUvarint(b, f.stream)
-	b = binary.AppendUvarint(b, uint64(len(f.body)))
-	return append(b, f.body...)
+	return binary.AppendUvarint(b, uint64(f.size()))
+}
+
+func (f frame) appendTo(b []byte) []byte {
+	b = append(f.appendHead(b), f.body...)
+	for _, piece := range f.more {
+		b = append(b, piece...)
+	}
+	return b
+}
+
+// pieces returns what is written for a frame. Large bodies are not copied.
+func (f frame) pieces() [][]byte {
+	if f.size() <= initialBody {
+		return [][]byte{f.appendTo(nil)}
+	}
+	pieces := [][]byte{f.appendHead(nil)}
+	for _, body := range append([][]byte{f.body}, f.more...) {
+		for piece := range slices.Chunk(body, initialBody) {
+			pieces = append(pieces, piece)
+		}
+	}
+	return pieces
 }
 
 func readFrame(r *bufio.Reader) (frame, error) {
-	kind, err := r.ReadByte()
+	f, length, err := readFrameHead(r)
 	if err != nil {
 		return frame{}, err
 	}
+	if f.body, err = readBody(r, length); err != nil {
+		return frame{}, err
+	}
+	return f, nil
+}
+
+// readFrameHead reads a frame up to its body, and returns the length of that.
+func readFrameHead(r *bufio.Reader) (frame, int, error) {
+	kind, err := r.ReadByte()
+	if err != nil {
+		return frame{}, 0, err
+	}
 	method, err := r.ReadByte()
 	if err != nil {
-		return frame{}, err
+		return frame{}, 0, err
 	}
 	stream, err := binary.ReadUvarint(r)
 	if err != nil {
-		return frame{}, err
+		return frame{}, 0, err
 	}
 	length, err := binary.ReadUvarint(r)
 	if err != nil {
-		return frame{}, err
+		return frame{}, 0, err
 	}
 	if length > maxFrameBody || frameKind(kind) < frameCall || frameKind(kind) > framePart {
-		return frame{}, fmt.Errorf("%w: kind %d with a body of %d bytes", errInvalidFrame, kind, length)
-	}
-	f := frame{kind: frameKind(kind), method: Method(method), stream: stream}
-	if f.body, err = readBody(r, int(length)); err != nil {
-		return frame{}, err
+		return frame{}, 0, fmt.Errorf("%w: kind %d with a body of %d bytes", errInvalidFrame, kind, length)
 	}
-	return f, nil
+	return frame{kind: frameKind(kind), method: Method(method), stream: stream}, int(length), nil
 }
 
 // readBody reads a body of a length that the other side has claimed. Memory grows with
@@ -79,8 +118,11 @@
 	var body []byte
 	for len(body) < length {
 		have := len(body)
-		body = slices.Grow(body, min(length-have, max(have, initialBody)))
-		body = body[:min(length, cap(body))]
+		size := min(length, max(2*have, initialBody))
+		if have >= trustedBody {
+			size = length
+		}
+		body = append(make([]byte, 0, size), body...)[:size]
 		if _, err := io.ReadFull(r, body[have:]); err != nil {
 			return nil, err
 		}
@@ -91,3 +133,7 @@
 // initialBody is the size of a body up to which memory is taken before any of it has
 // arrived.
 const initialBody = 64 << 10
+
+// trustedBody is how much of a body arrives before memory is taken for all of it, so that
+// only a small part is copied to a larger buffer.
+const trustedBody = 1 << 20
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,12 +7,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/budget"
 	"burdocklift/client"
 	"burdocklift/clock"
 	"burdocklift/uplink"
@@ -45,6 +49,13 @@
 	// the calls on it are cancelled. The calling node has closed its side by then,
 	// as it checks every pingIdleTime.
 	callerSilence = closeIdleTime + 2*pingIdleTime
+	// ownConnection is the size in bytes of a call above which it gets a connection of its
+	// own: a link of 10 Mbit/s carries it in 0.8 s.
+	ownConnection = 1 << 20
+	// framePause bounds the time in which nothing arrives of a frame that has begun.
+	framePause = 2 * time.Second
+	// callOverhead is the memory in bytes for a call besides its body.
+	callOverhead = 4 << 10
 )
 
 // Method identifies the handler of a call.
@@ -61,6 +72,10 @@
 	handlers  map[Method]Handler
 	dial      Dialer
 	uplink    *uplink.Scheduler // nil without a limit
+	account   *budget.Account   // nil without a limit
+	maxConns  int               // accepted connections, 0 for no limit
+	onLimit   func(error)       // is told of refused connections, nil for nobody
+	refusals  map[Method]func() []byte
 	onPanic   func(m Method, reason any, stack []byte)
 	runCtx    context.Context // ends with Run
 	cancelRun context.CancelFunc
@@ -68,6 +83,7 @@
 	mu       sync.Mutex
 	links    map[string]*link // by address
 	accepted map[*conn]struct{}
+	alone    map[*conn]struct{} // connections for one large call each
 }
 
 // New returns a Transport without handlers.
@@ -75,7 +91,8 @@
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	return &Transport{
 		clock: c, handlers: make(map[Method]Handler), dial: dialTCP, runCtx: runCtx, cancelRun: cancelRun,
-		links: make(map[string]*link), accepted: make(map[*conn]struct{}),
+		links: make(map[string]*link), accepted: make(map[*conn]struct{}), alone: make(map[*conn]struct{}),
+		refusals: make(map[Method]func() []byte),
 	}
 }
 
@@ -98,6 +115,17 @@
 // Run.
 func (t *Transport) OnPanic(f func(m Method, reason any, stack []byte)) { t.onPanic = f }
 
+// SetLimits sets the account for frames, and how many connections of other nodes are
+// accepted, 0 for no limit. The function is told of connections that are not accepted. It
+// must be called before Run.
+func (t *Transport) SetLimits(a *budget.Account, conns int, onLimit func(error)) {
+	t.account, t.maxConns, t.onLimit = a, conns, onLimit
+}
+
+// HandleRefusal sets the reply to calls of a method for which there is no memory. Without
+// it, the connection of such a call is closed. It must be called before Run.
+func (t *Transport) HandleRefusal(m Method, reply func() []byte) { t.refusals[m] = reply }
+
 // Handle sets the handler of a method. It must be called before Run.
 func (t *Transport) Handle(m Method, h Handler) { t.handlers[m] = h }
 
@@ -118,22 +146,44 @@
 	if err != nil {
 		return out, fmt.Errorf("%w: encode message: %w", ErrNotSent, err)
 	}
-	reply, err := t.call(ctx, address, m, body)
-	if err != nil {
-		return out, fmt.Errorf("call %s: %w", address, err)
+	return decodeReply[T](t.call(ctx, address, m, body))(address)
+}
+
+func (t *Transport) call(ctx context.Context, address string, m Method, body []byte, more ...[]byte) ([]byte, error) {
+	f := frame{kind: frameCall, method: m, body: body, more: more}
+	if f.size() > ownConnection {
+		return t.callAlone(ctx, address, f)
 	}
-	if err := cbor.Unmarshal(reply, &out); err != nil {
-		return out, fmt.Errorf("call %s: %w: decode reply: %w", address, ErrNoReply, err)
+	c, err := t.connTo(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return out, nil
+	return c.callFrame(ctx, f)
 }
 
-func (t *Transport) call(ctx context.Context, address string, m Method, body []byte) ([]byte, error) {
-	c, err := t.connTo(ctx, address)
+// callAlone makes a call on a connection of its own, so that the other calls to the node
+// don't wait until the link has carried it.
+func (t *Transport) callAlone(ctx context.Context, address string, f frame) ([]byte, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := t.dial(dialCtx, address)
+	if err == nil {
+		err = announceParts(raw)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return c.call(ctx, m, body)
+	c := newConn(raw, t)
+	t.mu.Lock()
+	t.alone[c] = struct{}{}
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		delete(t.alone, c)
+		t.mu.Unlock()
+		c.close(net.ErrClosed)
+	}()
+	return c.callFrame(ctx, f)
 }
 
 // connTo returns an open connection to an address. It waits for a dial in
@@ -231,12 +281,19 @@
 	go func() {
 		for {
 			raw, err := listener.Accept()
+			if Exhausted(err) {
+				t.reportLimit(err)
+				time.Sleep(acceptPause)
+				continue
+			}
 			if err != nil {
 				acceptErrs <- err
 				return
 			}
-			c := t.accept(raw)
-			context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
+			if c := t.accept(raw); c == nil {
+				t.reportLimit(fmt.Errorf("%w: %d connections of other nodes", ErrConnections, t.maxConns))
+				_ = raw.Close() // nothing was sent on it
+			}
 		}
 	}()
 	ticks := t.clock.NewTicker(pingIdleTime)
@@ -257,15 +314,64 @@
 	}
 }
 
-// accept serves the calls on a connection that another node has opened.
+// ErrConnections means that there are too many connections.
+var ErrConnections = errors.New("too many connections")
+
+// acceptPause is the time after which a listener accepts again when the process or the
+// host had no descriptor or memory left for a connection.
+const acceptPause = 50 * time.Millisecond
+
+// Exhausted reports whether an error of a listener tells of a lack that may pass.
+func Exhausted(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Transport) reportLimit(err error) {
+	if t.onLimit != nil {
+		t.onLimit(err)
+	}
+}
+
+// accept serves the calls on a connection that another node has opened. It returns nil if
+// there are too many. Those on which nothing was received for the longest time give way,
+// unless calls are in flight on them.
 func (t *Transport) accept(raw net.Conn) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.maxConns > 0 && len(t.accepted) >= t.maxConns {
+		idle := t.idlest()
+		if idle == nil {
+			return nil
+		}
+		idle.close(ErrConnections)
+		delete(t.accepted, idle)
+	}
 	c := newConn(raw, t)
 	t.accepted[c] = struct{}{}
 	return c
 }
 
+// idlest returns the accepted connection without calls in flight on which nothing was
+// received for the longest time, or nil.
+func (t *Transport) idlest() *conn {
+	var idlest *conn
+	var since time.Duration
+	for c := range t.accepted {
+		c.mu.Lock()
+		last, busy := c.lastReceived, len(c.cancels) > 0
+		c.mu.Unlock()
+		if !busy && (idlest == nil || last < since) {
+			idlest, since = c, last
+		}
+	}
+	return idlest
+}
+
 // forget removes a connection that has ended.
 func (t *Transport) forget(c *conn) {
 	t.mu.Lock()
@@ -284,7 +390,11 @@
 	for _, l := range t.links {
 		links = append(links, l)
 	}
+	alone := slices.Collect(maps.Keys(t.alone))
 	t.mu.Unlock()
+	for _, c := range alone {
+		c.checkLiveness()
+	}
 	for _, l := range links {
 		l.mu.Lock()
 		c := l.conn
@@ -299,6 +409,12 @@
 	t.cancelRun()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for c := range t.accepted {
+		c.close(net.ErrClosed)
+	}
+	for c := range t.alone {
+		c.close(net.ErrClosed)
+	}
 	for _, l := range t.links {
 		l.mu.Lock()
 		if l.conn != nil {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -208,7 +208,8 @@
 		}
 		m, _ := v.Member(c.Name)
 		res = r.sendTo(ctx, j, m)
-		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
+		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected ||
+			res.Reason == ReasonMemory
 		picker.Done(c, pick.Result{
 			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
 			Abandoned: res.Reason == ReasonCallerGone,
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/budget"
 	"burdocklift/fleet"
 	"burdocklift/peer"
 	"burdocklift/proto"
@@ -31,6 +32,9 @@
 	// unreachableRetryAfter is the retry-after when the owner's node cannot be
 	// reached.
 	unreachableRetryAfter = 500 * time.Millisecond
+	// memoryRetryAfter is the retry-after when a node has no memory for a request: slow
+	// clients give way after a second without progress.
+	memoryRetryAfter = time.Second
 )
 
 // forwardedRequest is a request between nodes. It is encoded as an array, so
@@ -42,8 +46,8 @@
 	Host       string
 	Path       string
 	Header     http.Header
-	Body       []byte
-	Key        int // -1 without a key
+	Body       []byte // element requestBody
+	Key        int    // -1 without a key
 	Origin     string
 	Service    string
 	Class      string
@@ -55,6 +59,10 @@
 	LegacyAge       int64 // zero
 }
 
+// requestBody is the index of the body in a forwardedRequest. Bodies are not copied when
+// requests are sent and received.
+const requestBody = 5
+
 // forwardedResult is the reply to a forwardedRequest. It is encoded as an
 // array.
 type forwardedResult struct {
@@ -79,7 +87,7 @@
 	}
 	req := j.request
 	msg := forwardedRequest{
-		ID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Header: req.Header, Body: req.Body, Key: -1,
+		ID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Header: req.Header, Body: []byte{}, Key: -1,
 		Origin: req.Origin, Service: j.service, Class: j.class, Urgency: j.urgency, Idempotent: j.idempotent,
 		Remaining: (j.deadline - now - transitTime).Microseconds(),
 	}
@@ -97,7 +105,7 @@
 		}
 	})
 	defer stop()
-	reply, err := peer.Call[forwardedResult](wait, r.cfg.Peers, m.Address, MethodServe, msg)
+	reply, err := peer.CallWithBulk[forwardedResult](wait, r.cfg.Peers, m.Address, MethodServe, msg, requestBody, req.Body)
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
 		return notRun(ReasonCallerGone, 0)
@@ -130,9 +138,14 @@
 
 func (r *Router) handleServe(ctx context.Context, body []byte) ([]byte, error) {
 	var msg forwardedRequest
-	if err := cbor.Unmarshal(body, &msg); err != nil {
+	body, bulk, err := peer.TakeBulk(body, requestBody)
+	if err == nil {
+		err = cbor.Unmarshal(body, &msg)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
+	msg.Body = bulk
 	remaining := time.Duration(msg.Remaining) * time.Microsecond
 	j := &job{
 		request: &Request{
@@ -167,9 +180,19 @@
 			out.Outcome = uint8(i)
 		}
 	}
+	budget.From(ctx).Force(int64(len(out.Body))) // the encoded reply is a copy
 	return cbor.Marshal(out)
 }
 
+// refuseForwarded returns the reply to a forwarded request for which there is no memory.
+func refuseForwarded() []byte {
+	reply, err := cbor.Marshal(forwardedResult{Outcome: 1, Reason: ReasonMemory, RetryAfter: memoryRetryAfter.Microseconds()})
+	if err != nil {
+		panic("encode refusal of a forwarded request: " + err.Error())
+	}
+	return reply
+}
+
 // cancelledClass is the class of cancelled requests in metrics.
 const cancelledClass = "cancelled"
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -114,6 +114,7 @@
 	ReasonPeerUnreachable Reason = "peer"     // the owner's node cannot be reached
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
 	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
+	ReasonMemory          Reason = "memory"   // the node has no memory for the request
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "gone"     // the caller disconnected
 	ReasonStopping        Reason = "stopping" // the target's node stops
@@ -195,6 +196,7 @@
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
+	cfg.Peers.HandleRefusal(MethodServe, refuseForwarded)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
 	return r
 }
