--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,7 +88,9 @@
 	a := &Agent{settings: s, clock: c, log: log, inputErrors: errorLog{clock: c, log: log}, refusals: errorLog{clock: c, log: log}}
 	a.reloader = &reloader{path: path, clock: c, log: log, initial: s, lastRead: s, apply: a.apply}
 	a.uplink = uplink.New(s.Limits.Link, c)
-	a.account = budget.New(budget.Size(s.Memory), c)
+	if s.Memory > 0 {
+		a.account = budget.New(budget.Size(s.Memory), c)
+	}
 	a.pace = pace{clock: c, pause: s.Limits.Pause, rate: s.Limits.Rate}
 	descriptors, err := files()
 	if err != nil {
@@ -174,8 +176,11 @@
 // callerConnections returns the bound on connections of callers, and on those of a single
 // address.
 func callerConnections(s conf.Agent, descriptors int) (all, perClient int) {
-	byMemory := int(budget.Size(s.Memory) / connMemoryShare / connBytes)
-	all = cmp.Or(s.Limits.Connections, max(min(descriptors/callerFileShare, byMemory), fewConnections))
+	most := descriptors / callerFileShare
+	if s.Memory > 0 {
+		most = min(most, int(budget.Size(s.Memory)/connMemoryShare/connBytes))
+	}
+	all = cmp.Or(s.Limits.Connections, max(most, fewConnections))
 	return all, cmp.Or(s.Limits.ClientConnections, max(all*3/4, 1))
 }
 
@@ -329,7 +334,7 @@
 	hold.Begin(func() { _ = control.SetWriteDeadline(time.Now()) }) // fails only if the connection is closed
 	paced := pacedWriter{ResponseWriter: answer, ctx: req.Context(), uplink: a.uplink}
 	// Also for an answer without a body: the deadline of the one before may have passed.
-	err = control.SetWriteDeadline(time.Now().Add(a.pace.pause))
+	err = control.SetWriteDeadline(a.pace.deadline())
 	err = errors.Join(err, platform.WriteResult(paced, r.ID, res))
 	if endErr := hold.End(); endErr != nil {
 		a.refusals.report(req.Context(), eventMemoryRefused, r.ID, endErr)
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -25,14 +25,22 @@
 // pace is the minimum that a client sends or reads.
 type pace struct {
 	clock clock.Clock
-	pause time.Duration // in which something moves
+	pause time.Duration // in which something moves, 0 for no limit
 	rate  int           // mean bytes a second, after the first pause
 }
 
+// deadline returns the time until which something has to move.
+func (p pace) deadline() time.Time {
+	if p.pause <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(p.pause)
+}
+
 // check returns an error for a transfer that has moved too few bytes since it began.
 func (p pace) check(began time.Duration, moved int) error {
 	took := p.clock.Elapsed() - began
-	if took > p.pause && float64(moved) < float64(p.rate)*(took-p.pause).Seconds() {
+	if p.pause > 0 && took > p.pause && float64(moved) < float64(p.rate)*(took-p.pause).Seconds() {
 		return fmt.Errorf("%w: %d bytes in %v, %d a second wanted", errSlow, moved, took.Round(time.Second), p.rate)
 	}
 	return nil
@@ -50,7 +58,7 @@
 
 // Read implements io.Reader.
 func (b *pacedBody) Read(p []byte) (int, error) {
-	if err := b.control.SetReadDeadline(time.Now().Add(b.pace.pause)); err != nil {
+	if err := b.control.SetReadDeadline(b.pace.deadline()); err != nil {
 		return 0, err
 	}
 	if b.hold.Evicted() { // its read deadline may have been set anew
@@ -79,7 +87,7 @@
 func (a *pacedAnswer) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
-		if err := a.control.SetWriteDeadline(time.Now().Add(a.pace.pause)); err != nil {
+		if err := a.control.SetWriteDeadline(a.pace.deadline()); err != nil {
 			return written, err
 		}
 		if a.hold.Evicted() { // its write deadline may have been set anew
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -21,6 +21,8 @@
 	// ErrEvicted means that the message was aborted because it was slow and its memory was
 	// needed for others.
 	ErrEvicted = errors.New("slow message gave way to others")
+	// ErrTooLong means that a message is longer than it may be.
+	ErrTooLong = errors.New("message is too long")
 )
 
 const (
@@ -54,7 +56,7 @@
 
 // Size returns the size in bytes of the account of a process with a memory in MiB.
 func Size(memory int) int64 {
-	return max((HeapLimit(memory)-baseBytes)*4/5, int64(memory)<<20/leastShare)
+	return max((HeapLimit(memory)-baseBytes)*9/10, int64(memory)<<20/leastShare)
 }
 
 // Kind says how much of the account a message may use.
@@ -110,14 +112,15 @@
 	return &Hold{account: a}
 }
 
-// limit returns how much of the account a message of a kind may use. Of the account an
-// eighth is kept for small messages, and another one for answers, so that what runs ends.
+// limit returns how much of the account a message of a kind may use. A sixteenth is kept for
+// small messages and an eighth for answers, so that what runs ends. The rest has room for a
+// body of 64 MiB with a memory of 184 MiB, that of the smallest hosts.
 func (a *Account) limit(k Kind) int64 {
 	switch k {
 	case Body:
-		return a.usage.Size * 3 / 4
+		return a.usage.Size * 13 / 16
 	case Answer:
-		return a.usage.Size * 7 / 8
+		return a.usage.Size * 15 / 16
 	}
 	return a.usage.Size
 }
@@ -201,6 +204,20 @@
 	return err
 }
 
+// try reserves more memory if there is some for which nothing has to give way.
+func (h *Hold) try(bytes int64, k Kind) bool {
+	if h == nil {
+		return true
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	if h.evicted || h.account.usage.Used+bytes > h.account.limit(k) {
+		return false
+	}
+	h.add(bytes)
+	return true
+}
+
 // Wait reserves more memory as soon as there is some. It waits no longer than maxWait.
 func (h *Hold) Wait(ctx context.Context, bytes int64, k Kind) error {
 	if h == nil {
--- a/cmds/clients_test.go
+++ b/cmds/clients_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -218,7 +219,8 @@
 	for stream := uint64(1); ; stream++ {
 		call, err := cbor.Marshal([]any{
 			fmt.Sprint("peer-", i, "-", stream, "-", time.Now().UnixNano()), "POST", "h.example", fmt.Sprint("/pay/", crowdAnswer),
-			http.Header{}, make([]byte, 32<<10), -1, "desk", "archive", "r-1", 1, false, (2 * time.Second).Microseconds(), 0, 0,
+			http.Header{},
+			make([]byte, 32<<10), -1, "desk", "archive", "r-1", 1, false, (2 * time.Second).Microseconds(), 0, 0,
 		})
 		if err != nil {
 			return err
@@ -399,3 +401,74 @@
 	}
 	a.awaitServing(t)
 }
+
+const (
+	// largestBody is the largest body that the rules of a site allow, in bytes, and
+	// usualMemory the memory of a node in MiB that serves it.
+	largestBody = 64 << 20
+	usualMemory = 184
+	// largeTime is the time limit of a request with such a body.
+	largeTime = time.Minute
+)
+
+// Guards against bounds on memory that refuse a single body of legal size, on the node
+// beside the target or through another one, and against copies of it that exceed the memory.
+func TestLargestBody(t *testing.T) {
+	program := buildProgram(t)
+	rules := crowdRules(t, largestBody)
+	rules = []byte(strings.ReplaceAll(string(rules), `"timeoutS":2`, `"timeoutS":60`))
+	store := startRules(t, rules)
+	var agents []*limitedAgent
+	for i, service := range []string{"desk", "archive"} {
+		target := freeAddresses(t, 1)[0]
+		a := startLimited(t, program, newAgent(t, fmt.Sprint("n-", i), service, target, store), usualMemory)
+		a.startTarget(t, target, func(*stand.Target, stand.Execution) {})
+		agents = append(agents, a)
+	}
+	for _, a := range agents {
+		a.awaitServing(t)
+	}
+	for i, way := range []string{"forwarded", "beside_the_target"} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(way, "/chunked_", chunked), func(t *testing.T) { sendLargest(t, agents, agents[i].caller, chunked) })
+		}
+	}
+}
+
+func sendLargest(t *testing.T, agents []*limitedAgent, address string, chunked bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var group sync.WaitGroup
+	peaks := make([]int, len(agents))
+	for i, a := range agents {
+		group.Go(func() { peaks[i] = peakMemory(ctx, a.Process.Pid) })
+	}
+	var body io.Reader = strings.NewReader(strings.Repeat("x", largestBody))
+	if chunked {
+		body = io.MultiReader(body) // of unknown length
+	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/pay/1", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Attempt-Id", fmt.Sprint("largest-", time.Now().UnixNano()))
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(largeTime.Milliseconds()))
+	resp, err := (&http.Client{Timeout: largeTime}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err = errors.Join(err, resp.Body.Close()); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d, %.40q, %v", resp.StatusCode, text, err)
+	}
+	cancel()
+	group.Wait()
+	t.Logf("peaks of %v MiB", peaks)
+	for i, peak := range peaks {
+		if peak > usualMemory {
+			t.Errorf("node %d took %d MiB, its limit is %d", i, peak, usualMemory)
+		}
+	}
+}
