--- a/agent/accept.go
+++ b/agent/accept.go
@@ -51,8 +51,8 @@
 }
 
 // limitedListener accepts a limited number of connections. When there are too many, the one
-// that has waited the longest for a request to begin or to be read gives way, else the new
-// one is closed.
+// on which nothing has moved for the longest time gives way, unless a request runs, else the
+// new one is closed.
 type limitedListener struct {
 	net.Listener
 	clock     clock.Clock
@@ -76,8 +76,39 @@
 	close    sync.Once
 
 	// Guarded by the lock of the listener.
-	idle  bool // no request is served
-	since time.Duration
+	phase connPhase
+	since time.Duration // of the phase, or of the last progress in it
+}
+
+// connPhase is what a connection is used for.
+type connPhase int
+
+const (
+	awaitsRequest connPhase = iota // none has begun, or its head is being read
+	readsBody
+	runsRequest
+	writesAnswer
+)
+
+const (
+	// bodyStall and answerStall are how long nothing of a body or an answer moves before its
+	// connection gives way to a new one. Callers read answers as they like: targets wait for
+	// some seconds as well.
+	bodyStall   = time.Second
+	answerStall = 5 * time.Second
+)
+
+// mayGo reports whether the connection may be closed for another one.
+func (c *limitedConn) mayGo(now time.Duration) bool {
+	switch c.phase {
+	case awaitsRequest:
+		return true
+	case readsBody:
+		return now-c.since >= bodyStall
+	case writesAnswer:
+		return now-c.since >= answerStall
+	}
+	return false
 }
 
 // Accept implements net.Listener.
@@ -112,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("address of a client: %w", err)
 	}
-	c := &limitedConn{TCPConn: raw, listener: l, client: client.Addr(), hold: l.account.Open(), idle: true, since: l.clock.Elapsed()}
+	c := &limitedConn{TCPConn: raw, listener: l, client: client.Addr(), hold: l.account.Open(), since: l.clock.Elapsed()}
 	l.mu.Lock()
 	count, own := len(l.conns), l.clients[c.client]
 	l.mu.Unlock()
@@ -139,8 +170,9 @@
 	l.mu.Lock()
 	l.dropped++
 	var idlest *limitedConn
+	now := l.clock.Elapsed()
 	for c := range l.conns {
-		if c.idle && may(c) && (idlest == nil || c.since < idlest.since) {
+		if c.mayGo(now) && may(c) && (idlest == nil || c.since < idlest.since) {
 			idlest = c
 		}
 	}
@@ -159,29 +191,30 @@
 	return len(l.conns), l.dropped
 }
 
-// observe is a function for http.Server.ConnState. A connection whose request is being read
-// stays idle until serving is called.
+// observe is a function for http.Server.ConnState.
 func (l *limitedListener) observe(raw net.Conn, s http.ConnState) {
 	c, ok := raw.(*limitedConn)
-	if !ok || s != http.StateIdle {
-		return
+	if ok && s == http.StateIdle {
+		c.enter(awaitsRequest)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.idle, c.since = true, l.clock.Elapsed()
 }
 
 type limitedConnKey struct{}
 
-// serving tells that the request of a context has been read.
-func serving(ctx context.Context) {
-	c, ok := ctx.Value(limitedConnKey{}).(*limitedConn)
-	if !ok {
+// connOf returns the connection of a request, or nil.
+func connOf(ctx context.Context) *limitedConn {
+	c, _ := ctx.Value(limitedConnKey{}).(*limitedConn)
+	return c
+}
+
+// enter tells that a phase begins, or that something has moved in it.
+func (c *limitedConn) enter(p connPhase) {
+	if c == nil {
 		return
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.idle = false
+	c.phase, c.since = p, c.listener.clock.Elapsed()
 }
 
 // Close implements net.Conn.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -297,7 +297,8 @@
 }
 
 func (a *Agent) serveCaller(w http.ResponseWriter, req *http.Request) {
-	serving(req.Context())
+	conn := connOf(req.Context())
+	conn.enter(readsBody)
 	a.inFlight.add()
 	defer a.inFlight.done()
 	limit := defaultMaxBodyBytes
@@ -312,7 +313,7 @@
 	defer hold.Close()
 	req = req.WithContext(budget.With(req.Context(), hold))
 	if req.Body != http.NoBody {
-		req.Body = &pacedBody{ReadCloser: req.Body, pace: a.pace, control: control, hold: hold, began: a.clock.Elapsed()}
+		req.Body = &pacedBody{ReadCloser: req.Body, pace: a.pace, control: control, hold: hold, conn: conn, began: a.clock.Elapsed()}
 		hold.Begin(func() { _ = control.SetReadDeadline(time.Now()) }) // fails only if the connection is closed
 	}
 	r, err := platform.DecodeRequest(req, a.settings.Target.Service, limit)
@@ -329,8 +330,10 @@
 	r.Left = func() bool { return hangup.Closed(req.Context()) }
 	ctx, stop := hangup.Watch(req.Context(), a.clock)
 	defer stop()
+	conn.enter(runsRequest)
 	res := a.router.Serve(ctx, r)
-	answer := &pacedAnswer{ResponseWriter: w, pace: a.pace, control: control, hold: hold, began: a.clock.Elapsed()}
+	conn.enter(writesAnswer)
+	answer := &pacedAnswer{ResponseWriter: w, pace: a.pace, control: control, hold: hold, conn: conn, began: a.clock.Elapsed()}
 	hold.Begin(func() { _ = control.SetWriteDeadline(time.Now()) }) // fails only if the connection is closed
 	paced := pacedWriter{ResponseWriter: answer, ctx: req.Context(), uplink: a.uplink}
 	// Also for an answer without a body: the deadline of the one before may have passed.
--- a/agent/pace.go
+++ b/agent/pace.go
@@ -52,6 +52,7 @@
 	pace    pace
 	control *http.ResponseController
 	hold    *budget.Hold
+	conn    *limitedConn
 	began   time.Duration
 	moved   int
 }
@@ -66,6 +67,9 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.moved += n
+	if n > 0 {
+		b.conn.enter(readsBody)
+	}
 	b.hold.Progress(n)
 	if err == nil {
 		err = b.pace.check(b.began, b.moved)
@@ -79,6 +83,7 @@
 	pace    pace
 	control *http.ResponseController
 	hold    *budget.Hold
+	conn    *limitedConn
 	began   time.Duration
 	moved   int
 }
@@ -96,6 +101,9 @@
 		n, err := a.ResponseWriter.Write(p[written:min(len(p), written+pieceBytes)])
 		written += n
 		a.moved += n
+		if n > 0 {
+			a.conn.enter(writesAnswer)
+		}
 		a.hold.Progress(n)
 		if err == nil {
 			err = a.pace.check(a.began, a.moved)
