--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,9 @@
 	idleTimeout = 30 * time.Second
 	// defaultMaxBodyBytes is the size limit of a body in bytes until rules are known.
 	defaultMaxBodyBytes = 1 << 20
+	// headSlack is what the head of a request may be larger than the rules say, as
+	// callers and nodes may count its size in different ways.
+	headSlack = 1 << 10
 	// lameDuckTime is how long a stopping node reports that it is not ready but still
 	// serves requests. The readiness probe runs once a second, so two probes fail.
 	lameDuckTime = 2500 * time.Millisecond
@@ -271,10 +274,27 @@
 	}
 }
 
+// errHead means that the head of a request is over the limit of the rules.
+var errHead = errors.New("head of the request is too large")
+
+// headBytes returns the size of the head of a request as HTTP/1.1 writes it.
+func headBytes(req *http.Request) int {
+	const line = len(": \r\n")
+	n := len(req.Method) + len(req.RequestURI) + len("  HTTP/1.1\r\n") + len("Host") + len(req.Host) + line
+	for name, values := range req.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + line
+		}
+	}
+	return n
+}
+
 // refuseCall answers a request that was not read as a whole. It has not run.
 func (a *Agent) refuseCall(w http.ResponseWriter, req *http.Request, id string, reason error) {
 	status, e := http.StatusBadRequest, eventCallRefused
 	switch {
+	case errors.Is(reason, errHead):
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, errHead // one line a minute for all
 	case errors.Is(reason, platform.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(reason, budget.ErrExhausted), errors.Is(reason, budget.ErrEvicted):
@@ -301,9 +321,14 @@
 	conn.enter(readsBody)
 	a.inFlight.add()
 	defer a.inFlight.done()
-	limit := defaultMaxBodyBytes
-	if set := a.fleet.View().Rules(); set != nil && set.Limits().BodyBytes > 0 {
-		limit = set.Limits().BodyBytes
+	limit, headLimit := defaultMaxBodyBytes, 0
+	if set := a.fleet.View().Rules(); set != nil {
+		limit = cmp.Or(max(set.Limits().BodyBytes, 0), defaultMaxBodyBytes)
+		headLimit = set.Limits().HeaderBytes
+	}
+	if head := headBytes(req); headLimit > 0 && head > headLimit+headSlack {
+		a.refuseCall(w, req, "", fmt.Errorf("%w: %d bytes, at most %d", errHead, head, headLimit))
+		return
 	}
 	if a.stopping.Load() {
 		w.Header().Set("Connection", "close")
