agent: connections get a second for their request before they give way

Change: a connection gives way after 1 s without a request; a request whose connection was closed does not run.

--- a/agent/accept.go
+++ b/agent/accept.go
@@ -76,8 +76,9 @@
 	close    sync.Once
 
 	// Guarded by the lock of the listener.
-	phase connPhase
-	since time.Duration // of the phase, or of the last progress in it
+	closed bool
+	phase  connPhase
+	since  time.Duration // of the phase, or of the last progress in it
 }
 
 // connPhase is what a connection is used for.
@@ -91,6 +92,9 @@
 )
 
 const (
+	// headStall is how long a connection stays without a request before it gives way to a new
+	// one: a request that is on its way should not be cut off.
+	headStall = time.Second
 	// bodyStall and answerStall are how long nothing of a body or an answer moves before its
 	// connection gives way to a new one. Callers read answers as they like: targets wait for
 	// some seconds as well.
@@ -102,7 +106,7 @@
 func (c *limitedConn) mayGo(now time.Duration) bool {
 	switch c.phase {
 	case awaitsRequest:
-		return true
+		return now-c.since >= headStall
 	case readsBody:
 		return now-c.since >= bodyStall
 	case writesAnswer:
@@ -172,10 +176,13 @@
 	var idlest *limitedConn
 	now := l.clock.Elapsed()
 	for c := range l.conns {
-		if c.mayGo(now) && may(c) && (idlest == nil || c.since < idlest.since) {
+		if !c.closed && c.mayGo(now) && may(c) && (idlest == nil || c.since < idlest.since) {
 			idlest = c
 		}
 	}
+	if idlest != nil {
+		idlest.closed = true
+	}
 	l.mu.Unlock()
 	if idlest == nil {
 		return false
@@ -207,14 +214,16 @@
 	return c
 }
 
-// enter tells that a phase begins, or that something has moved in it.
-func (c *limitedConn) enter(p connPhase) {
+// enter tells that a phase begins, or that something has moved in it. It returns false if
+// the connection has given way to another one.
+func (c *limitedConn) enter(p connPhase) bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.phase, c.since = p, c.listener.clock.Elapsed()
+	return !c.closed
 }
 
 // Close implements net.Conn.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -318,7 +318,9 @@
 
 func (a *Agent) serveCaller(w http.ResponseWriter, req *http.Request) {
 	conn := connOf(req.Context())
-	conn.enter(readsBody)
+	if !conn.enter(readsBody) {
+		return // nobody would get the answer
+	}
 	a.inFlight.add()
 	defer a.inFlight.done()
 	limit, headLimit := defaultMaxBodyBytes, 0
@@ -355,7 +357,9 @@
 	r.Left = func() bool { return hangup.Closed(req.Context()) }
 	ctx, stop := hangup.Watch(req.Context(), a.clock)
 	defer stop()
-	conn.enter(runsRequest)
+	if !conn.enter(runsRequest) {
+		return // nobody would get the answer
+	}
 	res := a.router.Serve(ctx, r)
 	conn.enter(writesAnswer)
 	answer := &pacedAnswer{ResponseWriter: w, pace: a.pace, control: control, hold: hold, conn: conn, began: a.clock.Elapsed()}
