--- a/conf/agent_test.go
+++ b/conf/agent_test.go
@@ -62,6 +62,11 @@
 		"addresses.called":              {`ip = "10.0.0.2"`, "ip = \"10.0.0.2\"\ncalled = \"host\""},
 		"limits.hold":                   {`drain = "3s"`, `hold = "2s"`},
 		"limits.link":                   {`link = 10.5`, `link = -1`},
+		"limits.header":                 {`link = 10.5`, `header = 100`},
+		"limits.connections":            {`link = 10.5`, `connections = -1`},
+		"more than limits.connections":  {`link = 10.5`, "connections = 10\nclient_connections = 11"},
+		"limits.pause":                  {`link = 10.5`, `pause = "0s"`},
+		"limits.rate":                   {`link = 10.5`, `rate = -1`},
 		"limits.link: must be a finite": {`link = 10.5`, `link = nan`},
 	} {
 		_, err := ParseAgent("s.toml", []byte(strings.Replace(agentText, change[0], change[1], 1)))
