--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -114,7 +115,9 @@
 	a.fleet = fleet.New(fleet.Config{
 		Name: s.Name, Address: s.Addresses.Peer(), DataCentre: s.DataCentre, Region: s.Region,
 		Store: ledger, Health: ledger.Health(), Peers: peers, Clock: c, Log: log,
-		RulesKey: platform.RulesKey, Rules: platform.DecodeRules,
+		RulesKey: platform.RulesKey, Rules: platform.RulesDecoder(s.Regions),
+		EvacuationPrefix: platform.EvacuationPrefix, EvacuationTime: s.Limits.Evacuation,
+		ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
 	})
 	ledger.SetRelays(a.fleet.PeerAddresses)
 	target := platform.NewTarget(s.Target.Address, int64(s.Memory)<<20/responseMemoryShare, c)
@@ -256,6 +259,9 @@
 func (a *Agent) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	a.recordLimits()
+	if era, ok := a.fleet.Era(); ok {
+		a.router.Metrics().SetGauge("store_era", int64(min(era, math.MaxInt64)))
+	}
 	if err := json.NewEncoder(w).Encode(a.router.Metrics()); err != nil {
 		a.log.Warn("metrics not delivered", "error", err)
 	}
--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -78,20 +78,20 @@
 		slog.String("members", strings.Join(names[:min(len(names), maxLoggedMembers)], " ")), slog.Uint64("rev", f.knownRev))
 }
 
-// applyListing applies a complete listing of this system's records. Known records that are
-// missing from it were removed, unless they are newer than the listing.
-func (f *Fleet) applyListing(items []store.Item, rev uint64) {
+// applyListing applies a complete listing of the records with a prefix. Known records that
+// are missing from it were removed, unless they are newer than the listing.
+func (f *Fleet) applyListing(items []store.Item, prefix string, rev uint64) {
 	listed := make(map[string]bool, len(items))
 	for _, it := range items {
 		listed[it.Key] = true
 	}
 	for key, it := range f.items {
-		if key != f.cfg.RulesKey && !listed[key] && !it.Removed && it.Rev <= rev {
+		if key != f.cfg.RulesKey && strings.HasPrefix(key, prefix) && !listed[key] && !it.Removed && it.Rev <= rev {
 			items = append(items, store.Item{Key: key, Rev: rev + 1, Removed: true})
 		}
 	}
 	f.applyRecords(items, fromList)
-	f.synced = true
+	f.synced, f.eras.relisting = true, false
 }
 
 // applyRecord applies a record. It reports whether that is of a new node or of a new run
@@ -101,6 +101,9 @@
 		f.applyRules(it, from)
 		return false, nil
 	}
+	if f.isEvacuation(it.Key) {
+		return false, f.applyEvacuation(it, from)
+	}
 	if service, ok := strings.CutPrefix(it.Key, prefixRanges); ok {
 		if it.Removed {
 			delete(f.ranges, service)
@@ -110,8 +113,7 @@
 		if err != nil {
 			return false, err
 		}
-		f.noteRangeChange(service, f.ranges[service], m, it.Rev)
-		f.ranges[service] = m
+		f.adoptRanges(service, m, it.Rev)
 		return false, nil
 	}
 	if name, ok := strings.CutPrefix(it.Key, prefixCrashes); ok {
@@ -121,6 +123,7 @@
 	if !ok {
 		return false, fmt.Errorf("%w: key has an unknown prefix", ErrRecord)
 	}
+	f.eras.recordedAt[name] = f.cfg.Clock.Elapsed()
 	if it.Removed {
 		if name == f.cfg.Name {
 			f.startNewRun(f.members[name]) // only records of ended runs are removed
@@ -133,6 +136,16 @@
 		return false, err
 	}
 	old, known := f.members[name]
+	if name == f.cfg.Name {
+		f.eras.ownReplaced = !f.presentEra(m.Era)
+	}
+	delete(f.eras.laterRun, name)
+	if known && f.keepMember(old, m) {
+		if old.Run > m.Run {
+			f.eras.laterRun[name] = true
+		}
+		return false, nil
+	}
 	f.members[name] = m
 	if name == f.cfg.Name {
 		f.restarted = f.restarted || m.Run != f.run
@@ -161,6 +174,7 @@
 		return
 	}
 	f.rules = set
+	f.setPolicy()
 	event.ConfigurationAccepted.Log(ctx, f.cfg.Log, slog.Uint64("version", set.Version()), slog.Uint64("rev", it.Rev),
 		slog.String("source", string(from)))
 }
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklift/place"
 	"burdocklift/span"
 	"burdocklift/store"
 )
@@ -32,9 +33,11 @@
 	runsSeen   map[string]firstSighting
 	firstSeen  map[string]time.Duration // by service, when a target was first seen
 	lostLogged map[string]bool
+	keptLogged map[string]bool // services whose keys stay in evacuated data centres
 
 	balanceAt    time.Duration // time at which the load is balanced next
 	serviceRates map[string]serviceRate
+	gather       gathering
 	wasStopping  map[string]bool // nodes that were stopping at the last call of owners
 }
 
@@ -90,8 +93,9 @@
 }
 
 // capacity returns how many requests a second a target can run. Without a known service
-// time the result is only comparable with that of other targets.
-func (p *planner) capacity(m Member, mean float64) float64 {
+// time the result is only comparable with that of other targets. A cold target gets no more
+// than coldRate, unless that is 0.
+func (p *planner) capacity(m Member, mean, coldRate float64) float64 {
 	slots := float64(max(m.Target.Slots, 1))
 	if mean == 0 {
 		return slots
@@ -100,6 +104,9 @@
 	if m.Target.Limit > 0 {
 		capacity = m.Target.Limit
 	}
+	if m.Target.Cold && coldRate > 0 {
+		capacity = min(capacity, coldRate)
+	}
 	s := p.serviceRates[m.Name]
 	if s.incarnation != m.Target.Incarnation {
 		s = serviceRate{}
@@ -113,6 +120,7 @@
 	p.runsSeen = make(map[string]firstSighting)
 	p.firstSeen = make(map[string]time.Duration)
 	p.lostLogged = make(map[string]bool)
+	p.keptLogged = make(map[string]bool)
 	p.serviceRates = make(map[string]serviceRate)
 	p.wasStopping = make(map[string]bool)
 }
@@ -216,6 +224,14 @@
 // to announce themselves, which they do every 0.87 s.
 const initialPlanDelay = 2500 * time.Millisecond
 
+// noteTargets returns when a target of a service was first seen, now at the latest.
+func (p *planner) noteTargets(service string, now time.Duration) time.Duration {
+	if _, ok := p.firstSeen[service]; !ok {
+		p.firstSeen[service] = now
+	}
+	return p.firstSeen[service]
+}
+
 // plan moves keys if this is the planning node: from targets that leave or are lost to the
 // others, and from busy targets to idle ones. It reports whether anything changed.
 func (f *Fleet) plan(d *rangesDraft, service string, now time.Duration) bool {
@@ -223,16 +239,12 @@
 		return false
 	}
 	owners := f.owners(service, now)
-	if len(owners) == 0 {
+	if len(owners) == 0 || f.ownerUnknown(d.Map, now) {
 		return false
 	}
 	m := d.edit()
 	if len(m.Ranges) == 0 {
-		first, ok := f.planner.firstSeen[service]
-		if !ok {
-			f.planner.firstSeen[service] = now
-		}
-		if !ok || now-first < initialPlanDelay {
+		if now-f.planner.noteTargets(service, now) < initialPlanDelay {
 			return false
 		}
 	}
@@ -256,7 +268,7 @@
 // moved.
 func (f *Fleet) owners(service string, now time.Duration) []span.Owner {
 	var owners []span.Owner
-	p, mean := &f.planner, f.planner.meanServiceTime()
+	p, mean, coldRate := &f.planner, f.planner.meanServiceTime(), f.coldRate(service)
 	f.View().Members(func(v Member) {
 		if v.Target == nil || v.Target.Service != service || v.Target.Lost {
 			return
@@ -275,10 +287,12 @@
 		}
 		delete(p.lostLogged, v.Name)
 		owners = append(owners, span.Owner{
-			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean), Leaving: v.Target.Leaving, Stopping: v.Stopping,
+			Incarnation: v.Target.Incarnation, Node: v.Name, Capacity: p.capacity(v, mean, coldRate), Stopping: v.Stopping,
+			Leaving: f.policy.CheckOwner(service, v.Place()) != place.Allowed,
 			Suspect: v.Name != f.cfg.Name && !p.isAlive(v.Name, now),
 		})
 	})
+	f.leaveEvacuated(service, owners)
 	isStopping := func(o span.Owner) bool { return o.Stopping }
 	if slices.ContainsFunc(owners, isStopping) && span.HasHeadroom(owners, p.load.Total(now)) {
 		for i := range owners {
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/place"
 	"burdocklift/span"
 )
 
@@ -36,6 +37,14 @@
 	// Revoked is true if another node recorded that the right to grant of this run has
 	// ended for good. The node can return only as another run.
 	Revoked bool `cbor:"10,keyasint,omitempty"`
+	// Era is that of the store in which the lease was taken, or the revocation recorded.
+	// It is 0 if the store names none and in records of earlier versions.
+	Era uint64 `cbor:"11,keyasint,omitempty"`
+}
+
+// Place returns where the target beside a node runs.
+func (m Member) Place() place.Target {
+	return place.Target{DataCentre: m.DataCentre, Region: m.Region, Draining: m.Target != nil && m.Target.Leaving}
 }
 
 // Serves reports whether a node takes new work of a service to its target.
@@ -53,6 +62,9 @@
 	// Limit is the number of requests a second that the target takes from all nodes
 	// together, or 0 for no limit.
 	Limit float64 `cbor:"6,keyasint,omitempty"`
+	// Cold is true while the target tolerates few requests, as after its start. It is only
+	// set for services that limit them.
+	Cold bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Serves reports whether a target takes new work of a service.
--- a/peer/bulk.go
+++ b/peer/bulk.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -97,31 +96,13 @@
 	return rest, tail[:size:size], nil
 }
 
-// CallWithBulk sends a message that is encoded as an array, with a byte string at an index
-// that is not copied. The message's own element there is empty.
-func CallWithBulk[T any](ctx context.Context, t *Transport, address string, m Method, message any, index int, bulk []byte) (T, error) {
-	var out T
+// MarshalBulk encodes a message as an array, with a byte string at an index that is not
+// copied. The message's own element there is empty.
+func MarshalBulk(message any, index int, bulk []byte) ([][]byte, error) {
 	encoded, err := cbor.Marshal(message)
 	if err != nil {
-		return out, fmt.Errorf("%w: encode message: %w", ErrNotSent, err)
+		return nil, err
 	}
 	before, after, err := insertBulk(encoded, index, len(bulk))
-	if err != nil {
-		return out, fmt.Errorf("%w: encode message: %w", ErrNotSent, err)
-	}
-	return decodeReply[T](t.call(ctx, address, m, before, bulk, after))(address)
-}
-
-// decodeReply returns a function that decodes a reply of the node at an address.
-func decodeReply[T any](reply []byte, err error) func(address string) (T, error) {
-	return func(address string) (T, error) {
-		var out T
-		if err != nil {
-			return out, fmt.Errorf("call %s: %w", address, err)
-		}
-		if err := cbor.Unmarshal(reply, &out); err != nil {
-			return out, fmt.Errorf("call %s: %w: decode reply: %w", address, ErrNoReply, err)
-		}
-		return out, nil
-	}
+	return [][]byte{before, bulk, after}, err
 }
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"burdocklift/budget"
+	"burdocklift/terse"
 	"burdocklift/uplink"
 )
 
@@ -21,6 +22,8 @@
 	raw        net.Conn
 	transport  *Transport
 	tomb       tomb.Tomb
+	learner    terse.Learner // strings in calls of this side
+	memory     terse.Memory  // strings in calls of the other side
 	writeToken chan struct{} // holds a token while a frame is written
 
 	mu           sync.Mutex
@@ -33,6 +36,7 @@
 	sendingLarge bool                          // a large frame is being written
 	pongPending  bool                          // a ping has not been answered yet
 	sendsParts   bool                          // the other side accepts replies in parts
+	accepted     Features                      // of the other side, once it has answered the first ping
 }
 
 // pendingCall is a call without a complete reply.
@@ -262,7 +266,8 @@
 func (c *conn) handle(f frame, hold *budget.Hold) {
 	switch f.kind {
 	case frameCall:
-		ctx, cancel := context.WithCancel(budget.With(context.Background(), hold))
+		ctx := context.WithValue(budget.With(context.Background(), hold), memoryKey{}, &c.memory)
+		ctx, cancel := context.WithCancel(ctx)
 		c.mu.Lock()
 		c.cancels[f.stream] = cancel
 		c.mu.Unlock()
@@ -288,6 +293,10 @@
 		if cancel != nil {
 			cancel()
 		}
+	case framePong:
+		c.mu.Lock()
+		c.accepted = Features(f.method)
+		c.mu.Unlock()
 	case framePing:
 		if f.method&acceptsParts != 0 {
 			c.mu.Lock()
@@ -323,7 +332,7 @@
 	}
 	c.pongPending = true
 	c.tomb.Go(func() error {
-		_ = c.send(context.Background(), frame{kind: framePong}) // a failure closes the connection
+		_ = c.send(context.Background(), frame{kind: framePong, method: Method(c.transport.features)}) // a failure closes the connection
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.pongPending = false
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -76,6 +76,7 @@
 	maxConns  int               // accepted connections, 0 for no limit
 	onLimit   func(error)       // is told of refused connections, nil for nobody
 	refusals  map[Method]func() []byte
+	features  Features // of this node
 	onPanic   func(m Method, reason any, stack []byte)
 	runCtx    context.Context // ends with Run
 	cancelRun context.CancelFunc
@@ -146,27 +147,27 @@
 	if err != nil {
 		return out, fmt.Errorf("%w: encode message: %w", ErrNotSent, err)
 	}
-	return decodeReply[T](t.call(ctx, address, m, body))(address)
+	reply, err := t.call(ctx, address, m, body)
+	if err != nil {
+		return out, fmt.Errorf("call %s: %w", address, err)
+	}
+	if err := cbor.Unmarshal(reply, &out); err != nil {
+		return out, fmt.Errorf("call %s: %w: decode reply: %w", address, ErrNoReply, err)
+	}
+	return out, nil
 }
 
 func (t *Transport) call(ctx context.Context, address string, m Method, body []byte, more ...[]byte) ([]byte, error) {
-	f := frame{kind: frameCall, method: m, body: body, more: more}
-	if f.size() > ownConnection {
-		return t.callAlone(ctx, address, f)
-	}
-	c, err := t.connTo(ctx, address)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-	}
-	return c.callFrame(ctx, f)
+	pieces := append([][]byte{body}, more...)
+	return t.Exchange(ctx, address, frame{more: pieces}.size(), func(Remote) (Method, [][]byte, error) { return m, pieces, nil })
 }
 
-// callAlone makes a call on a connection of its own, so that the other calls to the node
-// don't wait until the link has carried it.
-func (t *Transport) callAlone(ctx context.Context, address string, f frame) ([]byte, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+// dialAlone opens a connection for one large call, so that the other calls to the node don't
+// wait until the link has carried it.
+func (t *Transport) dialAlone(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := t.dial(dialCtx, address)
+	raw, err := t.dial(ctx, address)
 	if err == nil {
 		err = announceParts(raw)
 	}
@@ -175,15 +176,17 @@
 	}
 	c := newConn(raw, t)
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.alone[c] = struct{}{}
+	return c, nil
+}
+
+// closeAlone closes the connection of a large call.
+func (t *Transport) closeAlone(c *conn) {
+	t.mu.Lock()
+	delete(t.alone, c)
 	t.mu.Unlock()
-	defer func() {
-		t.mu.Lock()
-		delete(t.alone, c)
-		t.mu.Unlock()
-		c.close(net.ErrClosed)
-	}()
-	return c.callFrame(ctx, f)
+	c.close(net.ErrClosed)
 }
 
 // connTo returns an open connection to an address. It waits for a dial in
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"strings"
@@ -47,6 +48,17 @@
 	HealthPath     string        // of the health check of a target
 }
 
+// ColdLimit returns how many requests a second a cold target of the service gets at an even
+// pace, and how many at most in any second, by the site's factor and slack. Both are 0 if a cold
+// target has no limit.
+func (s Service) ColdLimit(factor, slack float64) (pace float64, bound int) {
+	if s.ColdRate <= 0 {
+		return 0, 0
+	}
+	pace = s.ColdRate * factor
+	return pace, int(min(pace+slack, math.MaxInt32))
+}
+
 // Limits bound what a caller may send.
 type Limits struct {
 	HeaderBytes, BodyBytes     int
@@ -139,6 +151,19 @@
 // ShardedServices returns the sorted names of the services whose keys are sharded.
 func (s *Set) ShardedServices() []string { return s.sharded }
 
+// Routes returns all routes, in no order.
+func (s *Set) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, prefixes := range s.routes {
+			for _, r := range prefixes {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Match returns the route for a host name whose prefix is the longest match of the
 // path.
 func (s *Set) Match(host, path string) (*Route, bool) {
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"burdocklift/budget"
+	"burdocklift/client"
 	"burdocklift/fleet"
 	"burdocklift/peer"
 	"burdocklift/proto"
@@ -50,7 +52,7 @@
 	Key        int    // -1 without a key
 	Origin     string
 	Service    string
-	Class      string
+	Class      string // name of the route; the target's node looks it up by host and path in its own rules
 	Urgency    int
 	Idempotent bool
 	Remaining  int64 // microseconds until the deadline
@@ -105,7 +107,7 @@
 		}
 	})
 	defer stop()
-	reply, err := peer.CallWithBulk[forwardedResult](wait, r.cfg.Peers, m.Address, MethodServe, msg, requestBody, req.Body)
+	reply, err := r.exchange(wait, j, m, msg)
 	switch {
 	case errors.Is(err, peer.ErrNotSent) && errors.Is(ctx.Err(), context.Canceled):
 		return notRun(ReasonCallerGone, 0)
@@ -126,6 +128,10 @@
 		}
 		reply.Reason = ReasonNoResponse
 	}
+	if outcomes[reply.Outcome] == proto.Answered && !client.ValidStatus(reply.Status) {
+		// Nodes of earlier versions pass on whatever status their target sends.
+		return Result{Outcome: proto.Unknown, Reason: ReasonNoResponse, Sends: max(reply.Sends, 1)}
+	}
 	res := Result{
 		Outcome: outcomes[reply.Outcome], Reason: reply.Reason,
 		Response:   Response{Status: reply.Status, Header: reply.Header, Body: reply.Body},
@@ -146,6 +152,13 @@
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
 	msg.Body = bulk
+	res := r.serveForwarded(ctx, msg)
+	budget.From(ctx).Force(int64(len(res.Body))) // the encoded reply is a copy
+	return cbor.Marshal(res)
+}
+
+// serveForwarded runs a request of another node on the local target.
+func (r *Router) serveForwarded(ctx context.Context, msg forwardedRequest) forwardedResult {
 	remaining := time.Duration(msg.Remaining) * time.Microsecond
 	j := &job{
 		request: &Request{
@@ -180,13 +193,17 @@
 			out.Outcome = uint8(i)
 		}
 	}
-	budget.From(ctx).Force(int64(len(out.Body))) // the encoded reply is a copy
-	return cbor.Marshal(out)
+	return out
+}
+
+// memoryRefusal is the result of a forwarded request for which there is no memory.
+var memoryRefusal = forwardedResult{
+	Outcome: uint8(slices.Index(outcomes, proto.NotRun)), Reason: ReasonMemory, RetryAfter: memoryRetryAfter.Microseconds(),
 }
 
 // refuseForwarded returns the reply to a forwarded request for which there is no memory.
 func refuseForwarded() []byte {
-	reply, err := cbor.Marshal(forwardedResult{Outcome: 1, Reason: ReasonMemory, RetryAfter: memoryRetryAfter.Microseconds()})
+	reply, err := cbor.Marshal(memoryRefusal)
 	if err != nil {
 		panic("encode refusal of a forwarded request: " + err.Error())
 	}
--- a/triage/triage.go
+++ b/triage/triage.go
@@ -38,6 +38,9 @@
 	Class    string
 	Urgency  int           // higher goes first
 	Deadline time.Duration // moment at which the caller gives up
+	// Nested is set for a call that a target makes for a request that it runs. It goes ahead of
+	// equally urgent new requests: to refuse it wastes the work that was done already.
+	Nested bool
 	// Transfer is the expected time to send the answer, if it is large, and Backlog the
 	// time for which the link is busy with those of earlier requests.
 	Transfer, Backlog time.Duration
@@ -73,6 +76,8 @@
 	startLoad    load                   // in starts
 	linkLoad     load                   // in seconds of the link
 	starts       bucket
+	pace         pace
+	cold         coldWindow
 	slotReturns  map[int]time.Duration // by urgency, when the last refused caller was told to return
 	returns      time.Duration         // when the last caller that the rate refused was told to return
 }
@@ -100,6 +105,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.raiseLimit(now)
+	l.refreshCold(now)
 	t := l.times[r.Class]
 	left := r.Deadline - now
 	free := l.running < l.limit && len(l.queue) == 0
@@ -116,12 +122,13 @@
 		}
 		r.Deadline -= tail
 	}
+	l.followRank(r)
 	l.slotLoad.add(r.Urgency, t.mean.Seconds(), left, now)
 	l.startLoad.add(r.Urgency, 1, left, now)
-	if free && l.starts.take(now) {
+	if free && l.takeStart(now) {
 		l.running++
 		l.slotLoad.idle(float64(l.limit), now)
-		l.startLoad.idle(l.starts.rate, now)
+		l.startLoad.idle(l.startRate(), now)
 		return nil, nil
 	}
 	wait := l.estimateQueueWait(r, now)
@@ -129,7 +136,7 @@
 		l.queueTooLong(r.Urgency, now)
 		return nil, l.refusal(r, wait, now)
 	}
-	if wait > t.mean && l.overloadLasts(r.Urgency) {
+	if wait > t.mean && l.overloadLasts(r.Urgency) && !r.Nested {
 		return nil, l.refusal(r, wait, now)
 	}
 	w := &Waiter{request: r, done: make(chan error, 1)}
@@ -138,11 +145,21 @@
 	return w, nil
 }
 
+// followRank gives those that wait the rank of a new request of their class. Else a class that
+// has just been recognized as nested calls would overtake itself.
+func (l *Limiter) followRank(r Request) {
+	for _, w := range l.queue {
+		if w.request.Class == r.Class {
+			w.request.Nested = r.Nested
+		}
+	}
+}
+
 // queueTooLong records that a request was refused because of those ahead of it.
 func (l *Limiter) queueTooLong(urgency int, now time.Duration) {
 	l.slotLoad.queueTooLong(urgency, float64(l.limit), now)
-	if l.starts.rate > 0 {
-		l.startLoad.queueTooLong(urgency, l.starts.rate, now)
+	if rate := l.startRate(); rate > 0 {
+		l.startLoad.queueTooLong(urgency, rate, now)
 	}
 }
 
@@ -150,7 +167,7 @@
 // That keeps all slots busy; a longer queue would serve no more callers, and each of them
 // later.
 func (l *Limiter) overloadLasts(urgency int) bool {
-	return l.slotLoad.lasts(urgency) || l.starts.rate > 0 && l.startLoad.lasts(urgency)
+	return l.slotLoad.lasts(urgency) || l.startRate() > 0 && l.startLoad.lasts(urgency)
 }
 
 // SetEnd sets the moment at which all requests in flight end, also those that wait now.
@@ -195,6 +212,14 @@
 
 // Release returns a slot. A success updates the service time of the class.
 func (l *Limiter) Release(class string, took time.Duration, success bool, now time.Duration) {
+	l.ReleaseAtPace(class, took, took, success, now)
+}
+
+// ReleaseAtPace is Release for a target that names its pace. The mean service time of the
+// class goes by the time that the request would have taken at the lasting pace, so that a
+// short slowdown does not refuse what can end; the bound goes by what it took, as the next
+// request may meet a slowdown too.
+func (l *Limiter) ReleaseAtPace(class string, took, lasting time.Duration, success bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
@@ -202,7 +227,7 @@
 		if l.times == nil {
 			l.times = make(map[string]serviceTime)
 		}
-		l.times[class] = l.times[class].observe(took, now)
+		l.times[class] = l.times[class].observe(took, now).correct(lasting - took)
 	}
 	l.dispatch(now)
 }
@@ -249,12 +274,13 @@
 // can't end before their deadline any more, as later arrivals may have gone ahead of
 // them.
 func (l *Limiter) dispatch(now time.Duration) {
-	slices.SortStableFunc(l.queue, byUrgency)
+	l.refreshCold(now)
+	slices.SortStableFunc(l.queue, func(a, b *Waiter) int { return byRank(a.request, b.request) })
 	free, ahead, aheadCount := l.limit-l.running, time.Duration(0), 0
 	l.queue = slices.DeleteFunc(l.queue, func(w *Waiter) bool {
 		r := w.request
 		t := l.times[r.Class]
-		if free > 0 && now+t.bound() <= r.Deadline && l.starts.take(now) {
+		if free > 0 && now+t.bound() <= r.Deadline && l.takeStart(now) {
 			free--
 			l.running++
 			w.done <- nil
@@ -272,9 +298,18 @@
 	})
 }
 
-// byUrgency orders the queue. Equally urgent requests keep their order of arrival, so that
-// those that were let in are not passed over by callers who come with less time.
-func byUrgency(a, b *Waiter) int { return cmp.Compare(b.request.Urgency, a.request.Urgency) }
+// byRank orders the queue: by urgency, then nested calls first. Requests of equal rank keep
+// their order of arrival, so that those that were let in are not passed over by callers who
+// come with less time.
+func byRank(a, b Request) int {
+	if c := cmp.Compare(b.Urgency, a.Urgency); c != 0 || a.Nested == b.Nested {
+		return c
+	}
+	if a.Nested {
+		return -1
+	}
+	return 1
+}
 
 // estimateQueueWait estimates how long a new request waits for a slot, from the
 // work queued ahead of it.
@@ -288,7 +323,7 @@
 func (l *Limiter) workThrough(r Request) (work time.Duration, ahead int) {
 	work = l.times[r.Class].mean
 	for _, w := range l.queue {
-		if w.request.Urgency >= r.Urgency {
+		if byRank(w.request, r) <= 0 {
 			work += l.times[w.request.Class].mean
 			ahead++
 		}
@@ -302,8 +337,9 @@
 func (l *Limiter) RetryAfter(r Request, now time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.refreshCold(now)
 	work, ahead := l.workThrough(r)
-	wait := max(work/time.Duration(max(l.limit, 1)), l.starts.wait(float64(ahead), now))
+	wait := max(work/time.Duration(max(l.limit, 1)), l.startWait(ahead, now))
 	if l.overloadLasts(r.Urgency) {
 		wait = max(wait, (r.Deadline-now)/returnDivisor)
 	}
@@ -314,17 +350,21 @@
 // its own and that of a number of requests ahead of it: the slots run all of it by the
 // time at which a request behind would start.
 func (l *Limiter) estimateWait(work time.Duration, ahead int, now time.Duration) time.Duration {
+	inSlots := work / time.Duration(max(l.limit, 1))
 	slot := time.Duration(0)
-	if l.running >= l.limit || l.starts.rate == 0 {
-		slot = work / time.Duration(max(l.limit, 1))
+	if l.running >= l.limit || l.startRate() == 0 {
+		slot = inSlots
+	}
+	if wait, ends := l.cold.wait(ahead, now); ends {
+		slot = max(slot, wait+inSlots) // all that wait for the end of the limit find the slots free
 	}
-	return max(slot, l.starts.wait(float64(ahead), now))
+	return max(slot, l.startWait(ahead, now))
 }
 
 // refusal returns the refusal of a request that would wait for a time. The caller may
 // return when those ahead of it have started, and those that were told to return before it.
 func (l *Limiter) refusal(r Request, wait, now time.Duration) Refusal {
-	if l.starts.wait(float64(len(l.queue)), now) > 0 {
+	if l.startWait(len(l.queue), now) > 0 {
 		return Refusal{RetryAfter: l.returnTime(r, now), Rate: true}
 	}
 	if l.overloadLasts(r.Urgency) {
