--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,12 +7,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/budget"
 	"burdocklift/client"
 	"burdocklift/clock"
 	"burdocklift/uplink"
@@ -45,6 +49,13 @@
 	// the calls on it are cancelled. The calling node has closed its side by then,
 	// as it checks every pingIdleTime.
 	callerSilence = closeIdleTime + 2*pingIdleTime
+	// ownConnection is the size in bytes of a call above which it gets a connection of its
+	// own: a link of 10 Mbit/s carries it in 0.8 s.
+	ownConnection = 1 << 20
+	// framePause bounds the time in which nothing arrives of a frame that has begun.
+	framePause = 2 * time.Second
+	// callOverhead is the memory in bytes for a call besides its body.
+	callOverhead = 4 << 10
 )
 
 // Method identifies the handler of a call.
@@ -61,7 +72,11 @@
 	handlers  map[Method]Handler
 	dial      Dialer
 	uplink    *uplink.Scheduler // nil without a limit
-	features  Features          // of this node
+	account   *budget.Account   // nil without a limit
+	maxConns  int               // accepted connections, 0 for no limit
+	onLimit   func(error)       // is told of refused connections, nil for nobody
+	refusals  map[Method]func() []byte
+	features  Features // of this node
 	onPanic   func(m Method, reason any, stack []byte)
 	runCtx    context.Context // ends with Run
 	cancelRun context.CancelFunc
@@ -69,6 +84,7 @@
 	mu       sync.Mutex
 	links    map[string]*link // by address
 	accepted map[*conn]struct{}
+	alone    map[*conn]struct{} // connections for one large call each
 }
 
 // New returns a Transport without handlers.
@@ -76,7 +92,8 @@
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	return &Transport{
 		clock: c, handlers: make(map[Method]Handler), dial: dialTCP, runCtx: runCtx, cancelRun: cancelRun,
-		links: make(map[string]*link), accepted: make(map[*conn]struct{}),
+		links: make(map[string]*link), accepted: make(map[*conn]struct{}), alone: make(map[*conn]struct{}),
+		refusals: make(map[Method]func() []byte),
 	}
 }
 
@@ -99,6 +116,17 @@
 // Run.
 func (t *Transport) OnPanic(f func(m Method, reason any, stack []byte)) { t.onPanic = f }
 
+// SetLimits sets the account for frames, and how many connections of other nodes are
+// accepted, 0 for no limit. The function is told of connections that are not accepted. It
+// must be called before Run.
+func (t *Transport) SetLimits(a *budget.Account, conns int, onLimit func(error)) {
+	t.account, t.maxConns, t.onLimit = a, conns, onLimit
+}
+
+// HandleRefusal sets the reply to calls of a method for which there is no memory. Without
+// it, the connection of such a call is closed. It must be called before Run.
+func (t *Transport) HandleRefusal(m Method, reply func() []byte) { t.refusals[m] = reply }
+
 // Handle sets the handler of a method. It must be called before Run.
 func (t *Transport) Handle(m Method, h Handler) { t.handlers[m] = h }
 
@@ -129,8 +157,36 @@
 	return out, nil
 }
 
-func (t *Transport) call(ctx context.Context, address string, m Method, body []byte) ([]byte, error) {
-	return t.Exchange(ctx, address, func(Remote) (Method, []byte, error) { return m, body, nil })
+func (t *Transport) call(ctx context.Context, address string, m Method, body []byte, more ...[]byte) ([]byte, error) {
+	pieces := append([][]byte{body}, more...)
+	return t.Exchange(ctx, address, frame{more: pieces}.size(), func(Remote) (Method, [][]byte, error) { return m, pieces, nil })
+}
+
+// dialAlone opens a connection for one large call, so that the other calls to the node don't
+// wait until the link has carried it.
+func (t *Transport) dialAlone(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := t.dial(ctx, address)
+	if err == nil {
+		err = announceParts(raw)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	c := newConn(raw, t)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.alone[c] = struct{}{}
+	return c, nil
+}
+
+// closeAlone closes the connection of a large call.
+func (t *Transport) closeAlone(c *conn) {
+	t.mu.Lock()
+	delete(t.alone, c)
+	t.mu.Unlock()
+	c.close(net.ErrClosed)
 }
 
 // connTo returns an open connection to an address. It waits for a dial in
@@ -228,12 +284,19 @@
 	go func() {
 		for {
 			raw, err := listener.Accept()
+			if Exhausted(err) {
+				t.reportLimit(err)
+				time.Sleep(acceptPause)
+				continue
+			}
 			if err != nil {
 				acceptErrs <- err
 				return
 			}
-			c := t.accept(raw)
-			context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
+			if c := t.accept(raw); c == nil {
+				t.reportLimit(fmt.Errorf("%w: %d connections of other nodes", ErrConnections, t.maxConns))
+				_ = raw.Close() // nothing was sent on it
+			}
 		}
 	}()
 	ticks := t.clock.NewTicker(pingIdleTime)
@@ -254,15 +317,64 @@
 	}
 }
 
-// accept serves the calls on a connection that another node has opened.
+// ErrConnections means that there are too many connections.
+var ErrConnections = errors.New("too many connections")
+
+// acceptPause is the time after which a listener accepts again when the process or the
+// host had no descriptor or memory left for a connection.
+const acceptPause = 50 * time.Millisecond
+
+// Exhausted reports whether an error of a listener tells of a lack that may pass.
+func Exhausted(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Transport) reportLimit(err error) {
+	if t.onLimit != nil {
+		t.onLimit(err)
+	}
+}
+
+// accept serves the calls on a connection that another node has opened. It returns nil if
+// there are too many. Those on which nothing was received for the longest time give way,
+// unless calls are in flight on them.
 func (t *Transport) accept(raw net.Conn) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.maxConns > 0 && len(t.accepted) >= t.maxConns {
+		idle := t.idlest()
+		if idle == nil {
+			return nil
+		}
+		idle.close(ErrConnections)
+		delete(t.accepted, idle)
+	}
 	c := newConn(raw, t)
 	t.accepted[c] = struct{}{}
 	return c
 }
 
+// idlest returns the accepted connection without calls in flight on which nothing was
+// received for the longest time, or nil.
+func (t *Transport) idlest() *conn {
+	var idlest *conn
+	var since time.Duration
+	for c := range t.accepted {
+		c.mu.Lock()
+		last, busy := c.lastReceived, len(c.cancels) > 0
+		c.mu.Unlock()
+		if !busy && (idlest == nil || last < since) {
+			idlest, since = c, last
+		}
+	}
+	return idlest
+}
+
 // forget removes a connection that has ended.
 func (t *Transport) forget(c *conn) {
 	t.mu.Lock()
@@ -281,7 +393,11 @@
 	for _, l := range t.links {
 		links = append(links, l)
 	}
+	alone := slices.Collect(maps.Keys(t.alone))
 	t.mu.Unlock()
+	for _, c := range alone {
+		c.checkLiveness()
+	}
 	for _, l := range links {
 		l.mu.Lock()
 		c := l.conn
@@ -296,6 +412,12 @@
 	t.cancelRun()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for c := range t.accepted {
+		c.close(net.ErrClosed)
+	}
+	for c := range t.alone {
+		c.close(net.ErrClosed)
+	}
 	for _, l := range t.links {
 		l.mu.Lock()
 		if l.conn != nil {
