--- a/fleet/event.go
+++ b/fleet/event.go
@@ -76,6 +76,18 @@
 		"The planning node found no target outside the evacuated data centres that may own the keys of a service. They stay, and "+
 			"requests for them are refused with the reason evacuated.",
 		"Withdraw an evacuation, start targets elsewhere, or change the regions of the routes.")
+	eventStoreRestored = event.Define(3050, "store restored", slog.LevelWarn,
+		"The store was restored from an older copy, as its era shows. The node lists all records anew and keeps what it knows of "+
+			"owners until the planning node has restored the ranges.",
+		"Write the operators' records again: rules and evacuations.")
+	eventRangesRestored = event.Define(3051, "ranges restored", slog.LevelWarn,
+		"The planning node writes the ranges of a service again after the store was restored from an older copy. It has asked all "+
+			"nodes; absent is the number of those that did not answer and whose rights have ended. Renewed is true if all "+
+			"ranges get new epochs, as there may have been later ones than any node knows.",
+		"None.")
+	eventGatheredInvalid = event.Define(3052, "gathered ranges invalid", slog.LevelWarn,
+		"A node told the planning node ranges that cannot be decoded, after the store was restored from an older copy.",
+		"Report the line. The planning node asks again.")
 	eventLoadCompared = event.Define(3015, "load compared", slog.LevelInfo,
 		"The planning node compared the targets of a service, and moved keys from busy to idle ones if moved is true. A ratio "+
 			"of 1 is the mean of load over capacity.",
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -116,6 +116,7 @@
 	ReasonPeerUnreachable Reason = "peer"     // the owner's node cannot be reached
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
 	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
+	ReasonMemory          Reason = "memory"   // the node has no memory for the request
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "gone"      // the caller disconnected
 	ReasonStopping        Reason = "stopping"  // the target's node stops
@@ -205,6 +206,8 @@
 	r.admission.FollowCold(r.coldLimit, cfg.Clock.Elapsed())
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
+	cfg.Peers.HandleRefusal(MethodServe, refuseForwarded)
+	cfg.Peers.HandleRefusal(MethodServeTerse, func() []byte { return encodeTerseResult(&memoryRefusal, forwardedLoad{}) })
 	cfg.Peers.Handle(MethodServeTerse, r.handleServeTerse)
 	cfg.Peers.Announce(acceptsTerse)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
