--- a/pick/uneven_test.go
+++ b/pick/uneven_test.go
@@ -74,10 +74,9 @@
 )
 
 func (t *unevenTarget) factor(at time.Duration) float64 {
-	for _, begin := range t.slow {
-		if at >= begin && at < begin+slowTime {
-			return slowFactor
-		}
+	i, _ := slices.BinarySearch(t.slow, at-slowTime+1) // the first that has not ended
+	if i < len(t.slow) && at >= t.slow[i] {
+		return slowFactor
 	}
 	return 1
 }
@@ -116,6 +115,7 @@
 	events   timeline
 	targets  []*unevenTarget
 	pickers  []*pick.Picker
+	pools    [][]pick.Candidate // by node
 	expected bool // choose by expected time, and use the figures of the targets
 	took     []time.Duration
 	total    int
@@ -169,6 +169,7 @@
 		w.pickers = append(w.pickers, pick.New(pick.Config{
 			DataCentre: fmt.Sprint(c), Region: fmt.Sprint(region(c)), Clock: w.clock, Seed: seed*1000 + uint64(n),
 		}))
+		w.pools = append(w.pools, w.candidates(n))
 	}
 	return w
 }
@@ -210,7 +211,7 @@
 	} else {
 		c, _ = p.Pick(q.left)
 	}
-	t := w.targets[slices.IndexFunc(w.candidates(q.node), func(x pick.Candidate) bool { return x.Name == c.Name })]
+	t := w.targets[slices.IndexFunc(w.pools[q.node], func(x pick.Candidate) bool { return x.Name == c.Name })]
 	way := latency(centreOf(q.node), t.centre)
 	if c.Local {
 		way = 0
@@ -326,7 +327,7 @@
 			node += unevenNodes / 2
 		}
 		q := &request{
-			node: node, begin: w.now, left: w.candidates(node), deadline: w.now + unevenDeadline,
+			node: node, begin: w.now, left: w.pools[node], deadline: w.now + unevenDeadline,
 			work: time.Duration((0.5 + 0.5*rng.ExpFloat64()) * float64(work)),
 		}
 		w.send(q)
