--- a/serve/uneven_test.go
+++ b/serve/uneven_test.go
@@ -69,6 +69,9 @@
 				if (sent == 0) != c.older {
 					t.Errorf("%d of 3 requests were sent in the terse form", sent)
 				}
+				if n := s.routers["a1"].Metrics().Snapshot().Gauges["forwarded_bytes_other_region"]; n == 0 {
+					t.Error("the metrics count no bytes to the other region")
+				}
 			})
 		})
 	}
