fleet: MethodGather is method 12

Cause: a merge left two handlers of method 11, that of serve and this one, so that no node answered the planning node, and keys were never assigned.

--- a/fleet/gather.go
+++ b/fleet/gather.go
@@ -18,7 +18,7 @@
 
 // MethodGather is the call by which the planning node learns what the others know of the
 // ranges, after the store was restored from an older copy.
-const MethodGather peer.Method = 11
+const MethodGather peer.Method = 12
 
 const (
 	// gatherTimeout bounds one call, whose round trip takes at most 16 ms.
