--- a/fleet/view.go
+++ b/fleet/view.go
@@ -18,7 +18,9 @@
 	local     localTarget
 	rightEnds map[string]time.Duration
 	restarted bool
-	changed   chan struct{}
+	// vanishedUntil is when records of operators that a restored store lacks cease to apply.
+	vanishedUntil time.Duration
+	changed       chan struct{}
 	// coldFactor and coldSlack are those of Config.
 	coldFactor, coldSlack float64
 }
@@ -26,6 +28,16 @@
 // Rules returns the rules in force, or nil if none are known yet.
 func (v *View) Rules() *rules.Set { return v.rules }
 
+// MayHaveKeys reports whether a service has keys that targets own, as far as the rules are known.
+func (v *View) MayHaveKeys(service string) bool {
+	if v.rules == nil {
+		return true
+	}
+	_, owned := v.ranges[service]
+	s, _ := v.rules.Service(service)
+	return owned || s.Sharded
+}
+
 // Policy returns what restricts the placement of work.
 func (v *View) Policy() *place.Policy { return v.policy }
 
@@ -84,6 +96,10 @@
 // known before the rules.
 func (v *View) Restarted() bool { return v.restarted }
 
+// VanishedStayFor returns for how much longer records of operators stay in force that are
+// missing since the store was restored from an older copy.
+func (v *View) VanishedStayFor(now time.Duration) time.Duration { return max(v.vanishedUntil-now, 0) }
+
 // Target returns the target beside this node, or nil.
 func (v *View) Target() *Target { return v.local.target() }
 
--- a/serve/forward.go
+++ b/serve/forward.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/budget"
 	"burdocklift/client"
 	"burdocklift/fleet"
 	"burdocklift/peer"
@@ -32,6 +34,9 @@
 	// unreachableRetryAfter is the retry-after when the owner's node cannot be
 	// reached.
 	unreachableRetryAfter = 500 * time.Millisecond
+	// memoryRetryAfter is the retry-after when a node has no memory for a request: slow
+	// clients give way after a second without progress.
+	memoryRetryAfter = time.Second
 )
 
 // forwardedRequest is a request between nodes. It is encoded as an array, so
@@ -43,8 +48,8 @@
 	Host       string
 	Path       string
 	Header     http.Header
-	Body       []byte
-	Key        int // -1 without a key
+	Body       []byte // element requestBody
+	Key        int    // -1 without a key
 	Origin     string
 	Service    string
 	Class      string // name of the route; the target's node looks it up by host and path in its own rules
@@ -56,6 +61,10 @@
 	LegacyAge       int64 // zero
 }
 
+// requestBody is the index of the body in a forwardedRequest. Bodies are not copied when
+// requests are sent and received.
+const requestBody = 5
+
 // forwardedResult is the reply to a forwardedRequest. It is encoded as an
 // array.
 type forwardedResult struct {
@@ -80,7 +89,7 @@
 	}
 	req := j.request
 	msg := forwardedRequest{
-		ID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Header: req.Header, Body: req.Body, Key: -1,
+		ID: req.ID, Method: req.Method, Host: req.Host, Path: req.Path, Header: req.Header, Body: []byte{}, Key: -1,
 		Origin: req.Origin, Service: j.service, Class: j.class, Urgency: j.urgency, Idempotent: j.idempotent,
 		Remaining: (j.deadline - now - transitTime).Microseconds(),
 	}
@@ -135,10 +144,17 @@
 
 func (r *Router) handleServe(ctx context.Context, body []byte) ([]byte, error) {
 	var msg forwardedRequest
-	if err := cbor.Unmarshal(body, &msg); err != nil {
+	body, bulk, err := peer.TakeBulk(body, requestBody)
+	if err == nil {
+		err = cbor.Unmarshal(body, &msg)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
-	return cbor.Marshal(r.serveForwarded(ctx, msg))
+	msg.Body = bulk
+	res := r.serveForwarded(ctx, msg)
+	budget.From(ctx).Force(int64(len(res.Body))) // the encoded reply is a copy
+	return cbor.Marshal(res)
 }
 
 // serveForwarded runs a request of another node on the local target.
@@ -180,6 +196,20 @@
 	return out
 }
 
+// memoryRefusal is the result of a forwarded request for which there is no memory.
+var memoryRefusal = forwardedResult{
+	Outcome: uint8(slices.Index(outcomes, proto.NotRun)), Reason: ReasonMemory, RetryAfter: memoryRetryAfter.Microseconds(),
+}
+
+// refuseForwarded returns the reply to a forwarded request for which there is no memory.
+func refuseForwarded() []byte {
+	reply, err := cbor.Marshal(memoryRefusal)
+	if err != nil {
+		panic("encode refusal of a forwarded request: " + err.Error())
+	}
+	return reply
+}
+
 // cancelledClass is the class of cancelled requests in metrics.
 const cancelledClass = "cancelled"
 
