--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -342,6 +342,17 @@
 	}
 }
 
+// Guards against a new site that gets no owners in a store that was restored at some time.
+func TestStartInLaterEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newSiteInEra(ctx, t, hosts, slog.DiscardHandler, 5)
+		defer w.stop()
+		assertHeldWithin(t, w, 8*time.Second)
+	})
+}
+
 // Guards against a node that the store does not answer and that goes on in an earlier era.
 func TestEraFromRelay(t *testing.T) {
 	onSiteInEra(t, func(w *site) {
--- a/fleet/gather.go
+++ b/fleet/gather.go
@@ -30,6 +30,8 @@
 	maxGatherCalls = 64
 	// gatherVersion is the protocolVersion from which on nodes know MethodGather.
 	gatherVersion = 2
+	// firstEra is that of a store that was never restored.
+	firstEra = 1
 )
 
 // rangesMark orders the ranges of a service over all eras.
@@ -95,9 +97,10 @@
 }
 
 // mayCreateRanges reports whether the keys of a service may be assigned although no ranges
-// of it are known: no node knows any.
+// of it are known: no node knows any, or the store was never restored.
 func (f *Fleet) mayCreateRanges(service string) bool {
-	return f.planner.leads.Load() && f.planner.gather.created[service]
+	_, known := f.ranges[service]
+	return f.planner.leads.Load() && (f.planner.gather.created[service] || f.eras.now == firstEra && !known)
 }
 
 // knownMarks returns the newest ranges of earlier eras that this node knows.
