--- a/terse/dictionary.go
+++ b/terse/dictionary.go
@@ -46,8 +46,6 @@
 	{"Via", ""},
 	{"X-Forwarded-For", ""},
 	{"X-Request-Id", ""},
-	{"X-Response-Signature", ""},
-	{"X-Shard-Key", ""},
 	{"X-Trace-Id", ""},
 	{"Traceparent", ""},
 }
