--- a/peer/feature.go
+++ b/peer/feature.go
@@ -31,8 +31,11 @@
 }
 
 // Exchange sends a message that is encoded for the node at an address and for the connection
-// on which it is sent, and returns the reply.
-func (t *Transport) Exchange(ctx context.Context, address string, encode func(to Remote) (Method, []byte, error)) ([]byte, error) {
+// on which it is sent, and returns the reply. The message is encoded in pieces, of which bulk
+// bytes are a part; a large one gets a connection of its own.
+func (t *Transport) Exchange(
+	ctx context.Context, address string, bulk int, encode func(to Remote) (Method, [][]byte, error),
+) ([]byte, error) {
 	c, err := t.connTo(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -40,9 +43,16 @@
 	c.mu.Lock()
 	to := Remote{Accepted: c.accepted, Strings: &c.learner}
 	c.mu.Unlock()
-	m, body, err := encode(to)
+	if bulk > ownConnection {
+		if c, err = t.dialAlone(ctx, address); err != nil {
+			return nil, err
+		}
+		defer t.closeAlone(c)
+		to.Strings = &c.learner
+	}
+	m, pieces, err := encode(to)
 	if err != nil {
 		return nil, fmt.Errorf("%w: encode message: %w", ErrNotSent, err)
 	}
-	return c.call(ctx, m, body)
+	return c.callFrame(ctx, frame{kind: frameCall, method: m, more: pieces})
 }
