retry, pick: when a copy of a slow request is worth its cost

The existing Hedge knows the load and the budget, but not whether the other target is free, whether the first one is late because of its queue, or whether a copy could be answered first.

--- a/pick/expect.go
+++ b/pick/expect.go
@@ -125,6 +125,13 @@
 		return Candidate{}, false
 	}
 	now := p.clock.Now()
+	best := p.leastExpected(now, class, candidates)
+	best.target.count(now)
+	return candidates[best.index], true
+}
+
+// leastExpected returns the choice among candidates, of which there is at least one.
+func (p *Picker) leastExpected(now time.Time, class string, candidates []Candidate) option {
 	opts := p.eligible(now, candidates)
 	e := newEstimate(now, class, opts)
 	var best option
@@ -146,10 +153,14 @@
 			least = min(least, o.outlook.time())
 		}
 	}
-	best.target.inFlight++
-	best.target.report.since++
-	best.target.lastUsed = now
-	return candidates[best.index], true
+	return best
+}
+
+// count counts a request that is sent to the target.
+func (t *target) count(now time.Time) {
+	t.inFlight++
+	t.report.since++
+	t.lastUsed = now
 }
 
 // pathTo returns the path to a candidate.
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"cmp"
+	"math"
 	"sync"
 	"time"
 
@@ -9,9 +11,12 @@
 
 const (
 	hedgeQuantile = 95
-	hedgeSamples  = 500 // per window, so that 25 are above the 95th percentile
-	hedgeWindows  = 2
-	maxLatency    = time.Minute
+	// LateQuantile is the quantile for services whose copies are limited to a small share of
+	// their requests: what is later than the usual delays of slow targets.
+	LateQuantile = 98
+	hedgeSamples = 500 // per window, so that 25 are above the 95th percentile
+	hedgeWindows = 2
+	maxLatency   = time.Minute
 
 	// maxHedgeLoad is the ratio of requests in flight to slots above which requests
 	// are not hedged. Without the bound, hedges raised p99 from 72 to 424 ms at 90%
@@ -20,10 +25,12 @@
 )
 
 // Hedge decides when an idempotent request that is still unanswered is sent to a
-// second target: after the 95th percentile of the latency of its class, and within
-// the budget that retries draw on. The zero value is ready to use and safe for
-// concurrent use.
+// second target: after a quantile of the latency of its class, the 95th percentile for
+// the zero value, and within the budget that retries draw on. The zero value is ready to
+// use. A Hedge is safe for concurrent use.
 type Hedge struct {
+	quantile float64 // 0 for hedgeQuantile
+
 	mu      sync.Mutex
 	latency *hdrhistogram.WindowedHistogram
 	samples int
@@ -31,6 +38,9 @@
 	mean    time.Duration
 }
 
+// NewHedge returns a Hedge that waits for a quantile of the latency, in percent.
+func NewHedge(quantile float64) *Hedge { return &Hedge{quantile: quantile} }
+
 // Observe records the latency of an answer, measured from the first attempt.
 func (h *Hedge) Observe(d time.Duration) {
 	h.mu.Lock()
@@ -44,7 +54,7 @@
 	}
 	if h.samples++; h.samples%hedgeSamples == 0 {
 		m := h.latency.Merge()
-		h.delay = time.Duration(m.ValueAtQuantile(hedgeQuantile)) * time.Microsecond
+		h.delay = time.Duration(m.ValueAtQuantile(cmp.Or(h.quantile, hedgeQuantile))) * time.Microsecond
 		h.mean = time.Duration(m.Mean() * float64(time.Microsecond))
 		h.latency.Rotate()
 	}
@@ -66,7 +76,7 @@
 // time waited so far, so it costs as many tokens as requests of mean latency fit
 // into that time, plus one.
 func (h *Hedge) Allow(b *Budget, a Attempt, load float64) bool {
-	if !a.Idempotent || load > maxHedgeLoad || !a.NoDeadline && a.Remaining <= a.Expected {
+	if Worth(a, Prospect{Waited: math.MaxInt64, Second: a.Expected, Free: true, Load: load}) != Repeat {
 		return false
 	}
 	h.mu.Lock()
@@ -77,3 +87,57 @@
 	}
 	return b.Spend(1 + float64(delay)/float64(max(mean, 1)))
 }
+
+// Reasons against a copy of a slow request, besides those of a Policy.
+const (
+	TooEarly     Reason = "early"    // it has not lasted longer than nearly all of its class
+	Overloaded   Reason = "overload" // too many requests for the slots of the service
+	QueuedFirst  Reason = "queue"    // it is late because requests wait at the first target's node
+	NoFreeTarget Reason = "busy"     // no other target that may take it has a free slot
+	NotSooner    Reason = "later"    // the copy would probably not be answered first
+	SuspectCrash Reason = "suspect"  // the request may crash targets
+)
+
+// Prospect is what is known of a slow request and of the target for its copy.
+type Prospect struct {
+	Waited   time.Duration // since the request was sent first
+	Second   time.Duration // expected time from sending the copy to its answer
+	Free     bool          // the other target has a free slot
+	Load     float64       // ratio of requests to slots over all targets
+	Queued   bool          // requests wait at the node of the first target
+	Overload bool          // requests were refused lately for lack of slots, or overload lasts
+	Suspect  bool          // the request is suspected of crashing targets
+}
+
+// Decide returns Repeat if a request that has waited for at least the time of Delay is worth
+// a copy, else the reason against it. It takes nothing from a budget.
+func (h *Hedge) Decide(a Attempt, p Prospect) Reason {
+	if delay, ok := h.Delay(); !ok || p.Waited < delay {
+		return TooEarly
+	}
+	return Worth(a, p)
+}
+
+// Worth returns Repeat if a copy of a slow request is worth its cost, else the reason
+// against it. A request that has lasted longer than nearly all of its class is expected to
+// take as long again as it has taken: with a long tail the longer a request has lasted, the
+// longer it still lasts.
+func Worth(a Attempt, p Prospect) Reason {
+	switch {
+	case !a.Idempotent:
+		return NotIdempotent
+	case p.Suspect:
+		return SuspectCrash
+	case p.Overload || p.Load > maxHedgeLoad:
+		return Overloaded
+	case p.Queued:
+		return QueuedFirst
+	case !p.Free:
+		return NoFreeTarget
+	case !a.NoDeadline && a.Remaining <= p.Second:
+		return DeadlineTooClose
+	case p.Second >= p.Waited:
+		return NotSooner
+	}
+	return Repeat
+}
