serve, conf: hedged requests

A request without a key that may be repeated waited for a slow target until its end. The first answer wins, the other copy is cancelled. Without the setting there is no timer and no goroutine.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -98,6 +98,7 @@
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region,
 		Fleet: a.fleet, Peers: peers, Target: platform.NewTarget(s.Target.Address, int64(s.Memory)<<20/responseMemoryShare, c), Clock: c, Log: log,
 		RetryRatio: s.Limits.Ratio, RetrySlack: s.Limits.Slack, DrainPeriod: s.Limits.Drain,
+		Hedges: s.Limits.Hedges,
 		Uplink: a.uplink,
 	})
 	ready := http.NewServeMux()
--- a/conf/agent.go
+++ b/conf/agent.go
@@ -34,7 +34,10 @@
 	Hold  time.Duration `toml:"hold"`  // longest hold of keys that a target accepts
 	Ratio float64       `toml:"ratio"` // requests sent to targets once more, per request of a service
 	Slack float64       `toml:"slack"` // requests sent once more besides, over all nodes
-	Link  float64       `toml:"link"`  // rate of the host's link in Mbit/s, 0 for no limit
+	// Hedges is the share of a service's requests that may be sent a second time because
+	// they are slow, 0 for none.
+	Hedges float64 `toml:"hedges"`
+	Link   float64 `toml:"link"` // rate of the host's link in Mbit/s, 0 for no limit
 	// A cold target gets at most its rate times ColdFactor and ColdSlack requests in any second.
 	ColdFactor float64 `toml:"cold_factor"`
 	ColdSlack  float64 `toml:"cold_slack"`
@@ -111,6 +114,9 @@
 	if s.Limits.Ratio < 0 || s.Limits.Ratio > 1 {
 		c.add("limits.ratio", "%v is out of range, must be from 0 to 1", s.Limits.Ratio)
 	}
+	if f := s.Limits.Hedges; !(f >= 0 && f <= s.Limits.Ratio) {
+		c.add("limits.hedges", "%v is out of range, must be from 0 to limits.ratio, %v", f, s.Limits.Ratio)
+	}
 	if f := s.Limits.ColdFactor; !(f > 0 && f <= maxColdFactor) {
 		c.add("limits.cold_factor", "%v is out of range, must be over 0 and at most %v", f, maxColdFactor)
 	}
--- a/retry/hedge.go
+++ b/retry/hedge.go
@@ -141,3 +141,15 @@
 	}
 	return Repeat
 }
+
+// AskAgain returns the time after which a copy that was not worth its cost for a reason may
+// be, or 0 for never.
+func AskAgain(reason Reason, p Prospect) time.Duration {
+	switch reason {
+	case NotSooner:
+		return max(p.Second-p.Waited, p.Waited/4) + time.Microsecond
+	case QueuedFirst, NoFreeTarget, TooEarly:
+		return p.Waited
+	}
+	return 0
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -90,7 +90,7 @@
 	policies.recordFirst()
 	sends, mayHaveRun := 0, false
 	for number := 1; ; number++ {
-		res := r.dispatch(ctx, j)
+		res := r.dispatchOnceOrTwice(ctx, j, sends, route.MaxAttempts)
 		sends += res.Sends
 		if res.Outcome == proto.NotRun && mayHaveRun {
 			res.Outcome = proto.Unknown
@@ -187,16 +187,8 @@
 func (r *Router) dispatchUnkeyed(ctx context.Context, j *job) Result {
 	v := r.cfg.Fleet.View()
 	picker := r.picker(j.service)
-	var candidates []pick.Candidate
-	work, now := r.work(v, j), r.cfg.Clock.Elapsed()
-	v.Members(func(m fleet.Member) {
-		if m.Serves(j.service) && v.Policy().Check(work, m.Place(), now) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
-			candidates = append(candidates, pick.Candidate{
-				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: r.slotsFor(v, m),
-				Local: m.Name == r.cfg.Name,
-			})
-		}
-	})
+	now := r.cfg.Clock.Elapsed()
+	candidates := r.candidates(v, j, now)
 	// Prefer targets that have not already rejected or failed this request.
 	tried := func(c pick.Candidate) bool { return slices.Contains(j.triedNodes, c.Name) }
 	if rest := slices.DeleteFunc(slices.Clone(candidates), tried); len(rest) > 0 {
@@ -216,12 +208,7 @@
 			break
 		}
 		m, _ := v.Member(c.Name)
-		res = r.sendTo(ctx, j, m)
-		busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
-		picker.Done(c, pick.Result{
-			Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
-			Abandoned: res.Reason == ReasonCallerGone || refusedByPlace(res),
-		})
+		res = r.sendPicked(ctx, j, picker, c, m)
 		if res.Sends > 0 {
 			j.triedNodes = append(j.triedNodes, c.Name)
 		}
@@ -239,6 +226,36 @@
 	return res
 }
 
+// candidates returns the targets of a service without keys that may take a request.
+func (r *Router) candidates(v *fleet.View, j *job, now time.Duration) []pick.Candidate {
+	var candidates []pick.Candidate
+	work := r.work(v, j)
+	v.Members(func(m fleet.Member) {
+		if m.Serves(j.service) && v.Policy().Check(work, m.Place(), now) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
+			candidates = append(candidates, pick.Candidate{
+				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: r.slotsFor(v, m),
+				Local: m.Name == r.cfg.Name,
+			})
+		}
+	})
+	return candidates
+}
+
+// sendPicked sends a request to a target that the picker has counted.
+func (r *Router) sendPicked(ctx context.Context, j *job, picker *pick.Picker, c pick.Candidate, m fleet.Member) Result {
+	j.asked.set(c.Name)
+	res := r.sendTo(ctx, j, m)
+	busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
+	picker.Done(c, pick.Result{
+		Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
+		Abandoned: res.Reason == ReasonCallerGone || refusedByPlace(res),
+	})
+	if res.Reason == ReasonNoSlot {
+		r.hedges.noteFull(j.service, r.cfg.Clock.Elapsed())
+	}
+	return res
+}
+
 // localIndex returns the index of the local target among the candidates if the
 // request should go there first, else -1: a large answer of another target takes the
 // links of two hosts.
@@ -295,6 +312,9 @@
 		slog.Int64("limit_ms", (j.deadline - begin).Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int64("after_ms", res.RetryAfter.Milliseconds()),
 	}
+	if j.hedge != "" {
+		attrs = append(attrs, slog.String("hedge", j.hedge))
+	}
 	if j.keyed {
 		owned, _, _ := r.cfg.Fleet.View().Owner(j.service, j.request.Key)
 		attrs = append(attrs, slog.Int("key", j.request.Key), slog.String("owner", owned.Node),
--- a/serve/local.go
+++ b/serve/local.go
@@ -41,6 +41,8 @@
 	deadline   time.Duration
 	triedNodes []string           // nodes whose targets received the request
 	identity   poison.Fingerprint // zero until fingerprint is called
+	hedge      string             // for logs: what became of the copy, empty without one
+	asked      *askedNode         // nil if there can be no copy
 }
 
 // retryAfter returns the retry-after delay of a request that may run after a time. The caller
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -153,6 +153,9 @@
 	// RetrySlack the number of retries allowed beyond it, both over all nodes.
 	RetryRatio float64
 	RetrySlack float64
+	// Hedges is the share of a service's requests that may be sent a second time because
+	// they are slow, at most RetryRatio; 0 for none.
+	Hedges float64
 	// DrainPeriod is how long a leaving target may still get requests.
 	DrainPeriod time.Duration
 	// Uplink is the outgoing link of this host, nil for one without a limit.
@@ -172,6 +175,7 @@
 	latencies *pick.Latencies
 	exchanged [pick.PathCount]atomic.Int64 // bytes of forwarded requests and their results, by path
 	nested    nested.Detector
+	hedges    *hedges         // nil if none are allowed
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
@@ -199,6 +203,9 @@
 		cfg: cfg, splits: make(map[string]*trafficSplit), pickers: make(map[string]*pick.Picker),
 		retries: make(map[string]retryPolicies), latencies: pick.NewLatencies(cfg.DataCentre, cfg.Region),
 	}
+	if cfg.Hedges > 0 {
+		r.hedges = newHedges(cfg.Hedges)
+	}
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
@@ -227,6 +234,7 @@
 	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
 	r.setUnevenGauges()
 	r.setEvacuationGauges()
+	r.hedges.setGauges(&r.stats)
 	return &r.stats
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -82,6 +82,7 @@
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
 	connect func(name string, peers *peer.Transport) // called before a node runs, if not nil
+	hedges  float64                                  // share of requests that may get a copy
 	// coldUntil holds the time.Time up to which the target beside a node says that it is cold.
 	coldUntil sync.Map
 }
@@ -198,6 +199,7 @@
 	s.routers[name] = serve.New(serve.Config{
 		Name: name, DataCentre: name, Region: "r-" + name[:1], Fleet: f, Peers: peers, Target: target, Clock: c,
 		Log: log, RetryRatio: 1, RetrySlack: 20, DrainPeriod: 2 * time.Second,
+		Hedges: s.hedges,
 	})
 	if s.connect != nil {
 		s.connect(name, peers)
