--- a/conf/agent_test.go
+++ b/conf/agent_test.go
@@ -56,6 +56,7 @@
 		"s.toml:5: memory":              {"memory = 284", "memory = 4"},
 		"s.toml:4: store":               {`store = "10.0.0.1:80"`, `store = "host"`},
 		"s.toml:14: addresses.ports":    {"[7000, 7015]", "[7000]"},
+		"limits.hedges":                 {"slack = 56", "slack = 56\nhedges = 0.11"}, // over the default ratio
 		"s.toml:16: limits.drain":       {`"3s"`, `"3"`},
 		"required key is missing":       {`ip = "10.0.0.2"`, ``},
 		"unknown key":                   {`region = "r"`, "region = \"r\"\nseed = 1"},
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -194,3 +195,35 @@
 		t.Fatalf("%d hedges from a full budget, want %d", n, (MaxBurst-1)/2)
 	}
 }
+
+// Guards against copies that cost more than they gain: each condition alone must prevent one.
+func TestWorthOfCopy(t *testing.T) {
+	h := NewHedge(LateQuantile)
+	for range hedgeSamples {
+		h.Observe(10 * time.Millisecond)
+	}
+	for _, c := range []struct {
+		want   Reason
+		again  bool
+		change func(a *Attempt, p *Prospect)
+	}{
+		{Repeat, false, func(*Attempt, *Prospect) {}},
+		{TooEarly, true, func(_ *Attempt, p *Prospect) { p.Waited = 5 * time.Millisecond }},
+		{NotIdempotent, false, func(a *Attempt, _ *Prospect) { a.Idempotent = false }},
+		{SuspectCrash, false, func(_ *Attempt, p *Prospect) { p.Suspect = true }},
+		{Overloaded, false, func(_ *Attempt, p *Prospect) { p.Overload = true }},
+		{Overloaded, false, func(_ *Attempt, p *Prospect) { p.Load = math.Inf(1) }},
+		{QueuedFirst, true, func(_ *Attempt, p *Prospect) { p.Queued = true }},
+		{NoFreeTarget, true, func(_ *Attempt, p *Prospect) { p.Free = false }},
+		{DeadlineTooClose, false, func(a *Attempt, _ *Prospect) { a.Remaining = 8 * time.Millisecond }},
+		{NotSooner, true, func(_ *Attempt, p *Prospect) { p.Second = 40 * time.Millisecond }},
+	} {
+		a := Attempt{Idempotent: true, Remaining: time.Second}
+		p := Prospect{Waited: 30 * time.Millisecond, Second: 8 * time.Millisecond, Free: true, Load: 0.5}
+		c.change(&a, &p)
+		got := h.Decide(a, p)
+		if again := AskAgain(got, p) > 0; got != c.want || again != c.again {
+			t.Errorf("%+v, %+v: %s, asked again: %v, want %s and %v", a, p, got, again, c.want, c.again)
+		}
+	}
+}
--- a/serve/event.go
+++ b/serve/event.go
@@ -19,7 +19,7 @@
 	"None, unless a request crashes more than two targets.")
 
 var eventRequestCancelled = event.Define(2904, "request cancelled", slog.LevelInfo,
-	"The node of a caller that left cancelled a request that it had forwarded. The at_target field tells whether the target worked on it.",
+	"The node of a caller that left, or that has the answer of another target, cancelled a request that it had forwarded. The at_target field tells whether the target worked on it.",
 	"Search the logs of all nodes for the request id: the line of the caller's node tells when the caller left.")
 
 var eventTargetLimited = event.Define(2905, "target limited", slog.LevelInfo,
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -176,7 +176,10 @@
 	if bytes.Equal(b, coldRules) {
 		coldRate = 15
 	}
+	single := route("list", "archive", true)
+	single.MaxAttempts = 1
 	return rules.New(version, rules.Limits{}, []rules.Route{
+		single,
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
 	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive", ColdRate: coldRate}})
 }
