--- a/pick/uneven_test.go
+++ b/pick/uneven_test.go
@@ -25,18 +25,22 @@
 	class          = "search"
 )
 
-// timeline is a queue of events by time.
+// timeline is a queue of events by time. Those of the same time keep their order, so that an
+// event without effect does not change the others.
 type timeline []moment
 
 type moment struct {
-	at time.Duration
-	do func()
+	at     time.Duration
+	number int
+	do     func()
 }
 
-func (q timeline) Len() int           { return len(q) }
-func (q timeline) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q timeline) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *timeline) Push(x any)        { *q = append(*q, x.(moment)) }
+func (q timeline) Len() int { return len(q) }
+func (q timeline) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timeline) Push(x any)   { *q = append(*q, x.(moment)) }
 func (q *timeline) Pop() any {
 	n := len(*q) - 1
 	x := (*q)[n]
@@ -114,6 +118,7 @@
 	now      time.Duration
 	clock    *stepClock
 	events   timeline
+	planned  int // events so far
 	targets  []*unevenTarget
 	pickers  []*pick.Picker
 	expected bool // choose by expected time, and use the figures of the targets
@@ -123,7 +128,10 @@
 	crossed  int
 }
 
-func (w *unevenWorld) after(d time.Duration, do func()) { heap.Push(&w.events, moment{w.now + d, do}) }
+func (w *unevenWorld) after(d time.Duration, do func()) {
+	w.planned++
+	heap.Push(&w.events, moment{w.now + d, w.planned, do})
+}
 
 func region(centre int) int { return centre / 2 }
 
