--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -78,6 +78,9 @@
 	watchFailures    atomic.Int32  // consecutive watches that the store did not serve
 	lastWatchFailure atomic.Int64  // time.Duration on the clock at the last failure
 
+	knownEra    atomic.Uint64                      // eras.now for other goroutines
+	cancelWatch atomic.Pointer[context.CancelFunc] // ends the call for changes in flight
+
 	copySource string // address of the node to copy records from first; owned by follow
 	copyCursor int    // selects the others; owned by follow
 
@@ -92,8 +95,10 @@
 	// the time at which this node learned that the right of an earlier run had ended.
 	run            int64
 	items          map[string]store.Item // stored records of this system, by key
-	synced         bool                  // all records were read at least once
-	restarted      bool                  // an earlier run of this node has written its record
+	eras           eras
+	rangesRev      map[string]uint64 // by service, revision of the known ranges in the era that they name
+	synced         bool              // all records were read at least once
+	restarted      bool              // an earlier run of this node has written its record
 	rules          *rules.Set
 	policy         *place.Policy // of the rules and evacuations
 	knownRev       uint64        // revision up to which all records are known
@@ -141,6 +146,9 @@
 		relayHeardAt: now, startedAt: now, departures: make(map[string]departure),
 		roleChanged: make(chan struct{}, 1), resigned: make(chan struct{}, 1),
 	}
+	f.rangesRev = make(map[string]uint64)
+	f.eras.kept, f.eras.stored = make(map[string]bool), make(map[string]uint64)
+	f.eras.recordedAt, f.eras.laterRun = make(map[string]time.Duration), make(map[string]bool)
 	f.mustReload.Store(true)
 	f.policy = place.New(nil, nil)
 	// The target may hold keys that an earlier run of this node granted.
@@ -160,6 +168,7 @@
 	cfg.Peers.Handle(MethodChanges, f.handleChanges)
 	cfg.Peers.Handle(MethodCopy, f.handleCopy)
 	cfg.Peers.Handle(MethodReleases, f.handleReleases)
+	cfg.Peers.Handle(MethodGather, f.handleGather)
 	cfg.Peers.Handle(MethodConfirm, f.handleConfirm)
 	cfg.Peers.Handle(MethodRefuse, f.handleRefuse)
 	return f
@@ -216,6 +225,8 @@
 		case <-ticks.Chan():
 			f.checkHeartbeat(f.cfg.Clock.Elapsed())
 			f.revokeDue(ctx, f.cfg.Clock.Elapsed())
+			f.gatherDue(ctx, f.cfg.Clock.Elapsed())
+			f.dropVanished(f.cfg.Clock.Elapsed())
 		}
 		now := f.cfg.Clock.Elapsed()
 		if reconciles {
@@ -270,7 +281,7 @@
 func (f *Fleet) publish() {
 	v := &View{
 		rules: f.rules, policy: f.policy, members: f.members, ranges: f.ranges, local: f.local,
-		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, changed: make(chan struct{}),
+		rightEnds: f.revoker.rightEnds(), restarted: f.restarted, vanishedUntil: f.vanishedUntil(), changed: make(chan struct{}),
 		coldFactor: f.cfg.ColdFactor, coldSlack: f.cfg.ColdSlack,
 	}
 	old := f.view.Load()
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -245,7 +245,8 @@
 func (r *Router) sendPicked(ctx context.Context, j *job, picker *pick.Picker, c pick.Candidate, m fleet.Member) Result {
 	j.asked.set(c.Name)
 	res := r.sendTo(ctx, j, m)
-	busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected
+	busy := res.Reason == ReasonNoSlot || res.Reason == ReasonLimited || res.Reason == ReasonLink || res.Reason == ReasonRejected ||
+		res.Reason == ReasonMemory
 	picker.Done(c, pick.Result{
 		Busy: busy, Success: busy || res.Outcome == proto.Answered && res.Response.Status < 500,
 		Abandoned: res.Reason == ReasonCallerGone || refusedByPlace(res),
--- a/serve/hedge.go
+++ b/serve/hedge.go
@@ -13,6 +13,7 @@
 	"burdocklift/proto"
 	"burdocklift/retry"
 	"burdocklift/stats"
+	"burdocklift/uplink"
 )
 
 const (
@@ -130,9 +131,11 @@
 }
 
 // mayHedge reports whether a copy may be sent of a request that targets received a number of
-// times before. Large answers would take the links of two more hosts.
+// times before. Large bodies and answers would take the links of two more hosts, and the
+// memory of a body is no longer accounted for once the first answer is passed on.
 func (r *Router) mayHedge(j *job, sends, maxAttempts int) bool {
-	return r.hedges != nil && !j.keyed && j.idempotent && j.hedge == "" && sends+2 <= maxAttempts && r.sizes.large(j.class) == 0
+	return !j.keyed && j.idempotent && j.hedge == "" && sends+2 <= maxAttempts &&
+		len(j.request.Body) <= uplink.LargeBytes && r.sizes.large(j.class) == 0
 }
 
 // dispatchOnceOrTwice makes one attempt to run a request that targets received a number of
--- a/serve/terse.go
+++ b/serve/terse.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"burdocklift/budget"
 	"burdocklift/fleet"
 	"burdocklift/peer"
 	"burdocklift/pick"
@@ -127,16 +128,19 @@
 	var written *terse.Writer // nil in the long form
 	path := r.latencies.PathTo(m.DataCentre, m.Region)
 	begin := r.cfg.Clock.Elapsed()
-	reply, err := r.cfg.Peers.Exchange(ctx, m.Address, func(to peer.Remote) (peer.Method, []byte, error) {
-		method, body, err := MethodServe, []byte(nil), error(nil)
+	bulk := j.request.Body // is not copied
+	reply, err := r.cfg.Peers.Exchange(ctx, m.Address, len(bulk), func(to peer.Remote) (peer.Method, [][]byte, error) {
+		method, pieces, err := MethodServe, [][]byte(nil), error(nil)
 		if to.Accepted&acceptsTerse != 0 {
 			strings, written = to.Strings, encodeTerseRequest(&msg, to.Strings)
-			method, body = MethodServeTerse, written.Bytes()
+			method, pieces = MethodServeTerse, [][]byte{written.Bytes(), bulk}
 		} else {
-			body, err = cbor.Marshal(msg)
+			pieces, err = peer.MarshalBulk(msg, requestBody, bulk)
 		}
-		r.exchanged[path].Add(int64(len(body)))
-		return method, body, err
+		for _, piece := range pieces {
+			r.exchanged[path].Add(int64(len(piece)))
+		}
+		return method, pieces, err
 	})
 	if err != nil {
 		return forwardedResult{}, fmt.Errorf("call %s: %w", m.Address, err)
@@ -170,6 +174,7 @@
 		return nil, fmt.Errorf("decode forwarded request: %w", err)
 	}
 	res := r.serveForwarded(ctx, msg)
+	budget.From(ctx).Force(int64(len(res.Body))) // the encoded reply is a copy
 	l := forwardedLoad{load: r.load(msg.Class), spent: r.cfg.Clock.Elapsed() - begin}
 	// A target that did not take part has a load, but not one of this service.
 	if t := r.cfg.Fleet.View().Target(); t == nil || t.Service != msg.Service {
