--- a/pick/uneven_test.go
+++ b/pick/uneven_test.go
@@ -121,7 +121,7 @@
 	targets  []*unevenTarget
 	pickers  []*pick.Picker
 	pools    [][]pick.Candidate // by node
-	expected bool // choose by expected time, and use the figures of the targets
+	expected bool               // choose by expected time, and use the figures of the targets
 	took     []time.Duration
 	total    int
 	inTime   int
