client: an answer that could not be read returns its memory at once

Cause: the hold of a request kept the memory of an answer that had given way, while the request was sent once more, so that answers of others were refused. cmds.TestEndlessAnswersBesideOthers failed in three parts in a whole run; passes after, twice.

--- a/client/limit.go
+++ b/client/limit.go
@@ -92,6 +92,7 @@
 	measured bool         // its length was stated
 	abort    func()       // ends the reading
 	hold     *budget.Hold // of the request, which keeps the memory until the answer was passed on
+	held     int64        // by hold, for this body
 	reserved int64
 	evicted  bool // its part went to another body
 }
@@ -162,7 +163,11 @@
 	}
 	read := &bodyRead{measured: r.ContentLength >= 0, abort: abort, hold: hold}
 	body, err := b.readAll(r.Body, read, limit)
-	if b.release(read) {
+	evicted := b.release(read)
+	if evicted || err != nil {
+		hold.Shrink(read.held) // the request may be sent once more
+	}
+	if evicted {
 		return nil, fmt.Errorf("%w: memory for more than %d bytes went to other answers", ErrTooLarge, len(body))
 	}
 	if err != nil {
@@ -183,6 +188,7 @@
 			if err := read.hold.Grow(size-int64(cap(out)), budget.Answer); err != nil {
 				return out, fmt.Errorf("%w: %w", ErrTooLarge, err)
 			}
+			read.held += size - int64(cap(out))
 			out = append(make([]byte, 0, size), out...)
 		}
 		n, err := body.Read(out[len(out):cap(out)])
