pick, place: work that may run anywhere leaves targets to which other work is confined

Requests of routes without regions queued at the targets of the only region in which another route of the service may be served, although targets elsewhere were free: the path to another region had to gain 20 times its latency.

--- a/pick/expect.go
+++ b/pick/expect.go
@@ -37,7 +37,8 @@
 
 // pathCost is the multiple of a path's latency, both ways, that taking the path must gain.
 // Paths between data centres share links; the one between regions carries 60 Mbit/s for all
-// traffic together. With 16 for regions, 0.002 of the requests crossed where one region had
+// traffic together. A longer path only has to gain its own latency if it leads away from targets
+// to which other requests are confined. With 16 for regions, 0.002 of the requests crossed where one region had
 // more of them, with 20 0.0002, and none by own counts (TestUnevenTargets).
 var pathCost = [PathCount]float64{SameRegion: 4, OtherRegion: 20}
 
@@ -141,13 +142,17 @@
 		var group []option
 		group, opts = cutNearest(opts)
 		path := Path(group[0].distance) + SameDataCentre
-		if best.target != nil && least < e.fastest+2*pathCost[path]*leastLatency(path).Seconds() {
+		cost := pathCost[path]
+		if best.target != nil && candidates[best.index].Contended && !candidates[group[0].index].Contended {
+			cost = 0 // what waits near by can't go elsewhere
+		}
+		if best.target != nil && least < e.fastest+2*max(cost, 1)*leastLatency(path).Seconds() {
 			continue // it can't gain enough
 		}
 		p.place(group, candidates)
 		e.assess(group)
 		o := p.betterOfTwo(e, group)
-		if best.target == nil || o.outlook.time()+pathCost[path]*o.outlook.latency < least {
+		if best.target == nil || o.outlook.time()+cost*o.outlook.latency < least {
 			best = o
 		}
 		for _, o := range group {
--- a/pick/expect_test.go
+++ b/pick/expect_test.go
@@ -124,3 +124,33 @@
 		})
 	}
 }
+
+// Guards against requests that may run anywhere and wait, or make others wait, at targets to
+// which other requests are confined, while targets of another region have free slots.
+func TestContendedTargets(t *testing.T) {
+	idle := Load{Running: 2, Limit: 8, ServiceTime: 100 * time.Millisecond}
+	waiting := Load{Running: 8, Waiting: 8, Limit: 8, ServiceTime: 100 * time.Millisecond}
+	for _, tc := range []struct {
+		name                       string
+		near                       Load
+		nearContended, farContends bool
+		least, most                float64 // share of the other region
+	}{
+		{"queue at contended targets", waiting, true, false, 0.9, 1},
+		{"no queue there", idle, true, false, 0, 0.05},
+		{"queue, not contended", waiting, false, false, 0, 0.05},
+		{"both contended", waiting, true, true, 0, 0.05},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := New(Config{DataCentre: "dc1", Region: "r1", Clock: clock, Seed: 1})
+			cs := []Candidate{at("near", "dc1", "r1"), at("far", "dc3", "r2")}
+			cs[0].Contended, cs[1].Contended = tc.nearContended, tc.farContends
+			loads := map[string]Load{"near": tc.near, "far": idle}
+			share(p, clock, cs, loads, "")
+			if got := share(p, clock, cs, loads, "far"); got < tc.least || got > tc.most {
+				t.Errorf("%.2f of the requests go to the other region, want %.2f to %.2f", got, tc.least, tc.most)
+			}
+		})
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -49,6 +49,9 @@
 	// having one slot until a success shows that the report is wrong.
 	Unhealthy bool
 	Local     bool // on the node's own host
+	// Contended is set if other requests may run only near this target, while this one may run
+	// farther away too.
+	Contended bool
 }
 
 // Result is the outcome of a request.
--- a/place/place.go
+++ b/place/place.go
@@ -47,6 +47,7 @@
 // restricts nothing.
 type Policy struct {
 	ownerRegions map[string][]string // by service with keys; services without restriction are missing
+	confined     map[string][]string // regions that routes name, by service without keys
 	conflicts    []string
 	evacuations  map[string]Evacuation // by data centre
 }
@@ -58,11 +59,16 @@
 	if set == nil {
 		return p
 	}
-	p.ownerRegions = make(map[string][]string)
+	p.ownerRegions, p.confined = make(map[string][]string), make(map[string][]string)
 	for r := range set.Routes() {
 		for _, w := range r.Services {
-			if s, _ := set.Service(w.Service); w.Weight > 0 && len(r.Regions) > 0 && s.Sharded {
+			s, _ := set.Service(w.Service)
+			switch {
+			case w.Weight <= 0 || len(r.Regions) == 0:
+			case s.Sharded:
 				p.restrictOwners(w.Service, r.Regions)
+			default:
+				p.confined[w.Service] = append(p.confined[w.Service], r.Regions...)
 			}
 		}
 	}
@@ -88,7 +94,13 @@
 
 // WithEvacuations returns a policy for the same rules.
 func (p *Policy) WithEvacuations(evacuations map[string]Evacuation) *Policy {
-	return &Policy{ownerRegions: p.ownerRegions, conflicts: p.conflicts, evacuations: maps.Clone(evacuations)}
+	return &Policy{ownerRegions: p.ownerRegions, confined: p.confined, conflicts: p.conflicts, evacuations: maps.Clone(evacuations)}
+}
+
+// Contended reports whether some requests to a service without keys are confined to the region of
+// a target, while the work may run anywhere: the work can make room by going elsewhere.
+func (p *Policy) Contended(service string, w Work, t Target) bool {
+	return len(w.Regions) == 0 && slices.Contains(p.confined[service], t.Region)
 }
 
 // Check returns why a target may not take work at a time.
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -234,7 +234,7 @@
 		if m.Serves(j.service) && v.Policy().Check(work, m.Place(), now) == place.Allowed && (m.Name == r.cfg.Name || r.cfg.Peers.Reachable(m.Address)) {
 			candidates = append(candidates, pick.Candidate{
 				Name: m.Name, DataCentre: m.DataCentre, Region: m.Region, Slots: r.slotsFor(v, m),
-				Local: m.Name == r.cfg.Name,
+				Local: m.Name == r.cfg.Name, Contended: v.Policy().Contended(j.service, work, m.Place()),
 			})
 		}
 	})
