--- a/triage/nested_test.go
+++ b/triage/nested_test.go
@@ -39,8 +39,8 @@
 		if err != nil {
 			t.Errorf("first waiting request is refused: %v", err)
 		}
-	case <-second.Done():
-		t.Error("second waiting request starts first")
+	case err := <-second.Done():
+		t.Errorf("second waiting request is decided first: %v", err)
 	}
 }
 
