rules: all faults of a route or service are listed, with their fields

New returned the first fault only, without the field. A check of rules before they are sent needs all of them. Route.Faults and Service.Faults list them, and New takes the first. The bound on timeouts is exported for messages.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,8 +15,37 @@
 // ErrInvalid is returned for rules that fail validation.
 var ErrInvalid = errors.New("invalid rules")
 
-// maxRouteTime bounds the timeout of a route. Callers wait at most 10 s.
-const maxRouteTime = 10 * time.Minute
+// MaxRouteTime bounds the timeout of a route. Callers wait at most 10 s.
+const MaxRouteTime = 10 * time.Minute
+
+// Field is a part of a route, of a service or of the limits.
+type Field uint8
+
+// Fields. The zero value stands for the whole.
+const (
+	FieldNone Field = iota
+	FieldVersion
+	FieldHeaderBytes
+	FieldBodyBytes
+	FieldHeaderTimeout
+	FieldIdleTimeout
+	FieldName
+	FieldPrefix
+	FieldServices
+	FieldWeight
+	FieldTimeout
+	FieldMaxAttempts
+	FieldRegions
+	FieldColdRate
+	FieldColdTime
+)
+
+// Fault is a reason why a route or a service is not valid.
+type Fault struct {
+	Field   Field
+	Element int // index in a list of services or regions
+	Err     error
+}
 
 // WeightedService is a service that a route sends requests to, with its weight.
 type WeightedService struct {
@@ -81,11 +110,8 @@
 		routes: make(map[string]map[string]*Route), services: make(map[string]Service, len(services)),
 	}
 	for _, v := range services {
-		if v.Name == "" {
-			return nil, fmt.Errorf("%w: service without a name", ErrInvalid)
-		}
-		if !(v.ColdRate >= 0) || math.IsInf(v.ColdRate, 0) || v.ColdTime < 0 {
-			return nil, fmt.Errorf("%w: service %q: %v requests a second or %v of a cold target are out of range", ErrInvalid, v.Name, v.ColdRate, v.ColdTime)
+		if faults := v.Faults(); len(faults) > 0 {
+			return nil, fmt.Errorf("%w: service %q: %w", ErrInvalid, v.Name, faults[0].Err)
 		}
 		s.services[v.Name] = v
 		if v.Sharded {
@@ -101,31 +127,62 @@
 	return s, nil
 }
 
-func (s *Set) addRoute(r *Route) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return fmt.Errorf("prefix %q must begin and end with a slash", r.Prefix)
+// Faults returns the reasons why a service is not valid.
+func (s Service) Faults() []Fault {
+	var faults []Fault
+	if s.Name == "" {
+		faults = append(faults, Fault{Field: FieldName, Err: errors.New("service without a name")})
+	}
+	if !(s.ColdRate >= 0) || math.IsInf(s.ColdRate, 0) {
+		faults = append(faults, Fault{Field: FieldColdRate, Err: fmt.Errorf("%v requests a second of a cold target are out of range", s.ColdRate)})
+	}
+	if s.ColdTime < 0 {
+		faults = append(faults, Fault{Field: FieldColdTime, Err: fmt.Errorf("%v of a cold target is out of range", s.ColdTime)})
 	}
-	if len(r.Services) == 0 {
-		return errors.New("route has no service")
+	return faults
+}
+
+// Faults returns the reasons why a route is not valid, given whether a service is defined.
+func (r *Route) Faults(defined func(service string) bool) []Fault {
+	var faults []Fault
+	add := func(field Field, element int, format string, args ...any) {
+		faults = append(faults, Fault{Field: field, Element: element, Err: fmt.Errorf(format, args...)})
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		add(FieldPrefix, 0, "prefix %q must begin and end with a slash", r.Prefix)
 	}
 	total := 0
-	for _, p := range r.Services {
-		if _, ok := s.services[p.Service]; !ok {
-			return fmt.Errorf("service %q is not defined", p.Service)
+	for i, p := range r.Services {
+		if !defined(p.Service) {
+			add(FieldServices, i, "service %q is not defined", p.Service)
 		}
 		if p.Weight < 0 {
-			return fmt.Errorf("weight %d of service %q is negative", p.Weight, p.Service)
+			add(FieldWeight, i, "weight %d of service %q is negative", p.Weight, p.Service)
 		}
-		total += p.Weight
+		total += max(p.Weight, 0)
 	}
-	if total == 0 {
-		return errors.New("all services have weight 0, expected a positive weight")
+	switch {
+	case len(r.Services) == 0:
+		add(FieldServices, 0, "route has no service")
+	case total == 0:
+		add(FieldServices, 0, "all services have weight 0, expected a positive weight")
 	}
-	if r.Timeout < 0 || r.MaxAttempts < 0 {
-		return fmt.Errorf("timeout %v or maximum of %d attempts is negative", r.Timeout, r.MaxAttempts)
+	if r.MaxAttempts < 0 {
+		add(FieldMaxAttempts, 0, "maximum of %d attempts is negative", r.MaxAttempts)
 	}
-	if r.Timeout > maxRouteTime {
-		return fmt.Errorf("timeout %v exceeds %v", r.Timeout, maxRouteTime)
+	switch {
+	case r.Timeout < 0:
+		add(FieldTimeout, 0, "timeout %v is negative", r.Timeout)
+	case r.Timeout > MaxRouteTime:
+		add(FieldTimeout, 0, "timeout %v exceeds %v", r.Timeout, MaxRouteTime)
+	}
+	return faults
+}
+
+func (s *Set) addRoute(r *Route) error {
+	defined := func(service string) bool { _, ok := s.services[service]; return ok }
+	if faults := r.Faults(defined); len(faults) > 0 {
+		return faults[0].Err
 	}
 	prefixes := s.routes[r.Host]
 	if prefixes == nil {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -43,7 +43,7 @@
 		"unknown":    {Prefix: "/", Services: []WeightedService{{"x", 1}}},
 		"no weight":  {Prefix: "/", Services: []WeightedService{{"s", 0}}},
 		"negative":   {Prefix: "/", Services: []WeightedService{{"s", 1}}, Timeout: -1},
-		"too long":   {Prefix: "/", Services: []WeightedService{{"s", 1}}, Timeout: 2 * maxRouteTime},
+		"too long":   {Prefix: "/", Services: []WeightedService{{"s", 1}}, Timeout: 2 * MaxRouteTime},
 	} {
 		if _, err := New(1, Limits{}, []Route{r}, []Service{{Name: "s"}}); !errors.Is(err, ErrInvalid) {
 			t.Errorf("%s: error is %v, want %v", name, err, ErrInvalid)
