conf: differences of any two lists of items

The comparison of documents is also wanted for rules that are no TOML document. DiffItems is the part of Diff that does not depend on the kind of document.

--- a/conf/diff.go
+++ b/conf/diff.go
@@ -24,42 +24,46 @@
 	return fmt.Sprintf("%s %s %s: %s %s -> %s", c.Action, c.Item, c.Name, c.Field, c.Old, c.New)
 }
 
-// item is a named part of a document with its fields as text.
-type item struct {
-	kind, name string
-	fields     [][2]string
+// Item is a named part of a document with its fields as text. Items of one kind have the
+// same fields in the same order.
+type Item struct {
+	Kind, Name string
+	Fields     [][2]string
 }
 
 // Diff lists the differences of two documents of one kind, in the order of the
 // new document and with removals last. Versions and authors are not compared.
-func Diff(older, newer Document) []Change {
-	before, after := items(older), items(newer)
+func Diff(older, newer Document) []Change { return DiffItems(items(older), items(newer)) }
+
+// DiffItems lists the differences of two lists of items, in the order of the new list and with
+// removals last. It changes the older list.
+func DiffItems(before, after []Item) []Change {
 	var changes []Change
 	for _, n := range after {
 		i := slices.IndexFunc(before, n.same)
 		if i < 0 {
-			changes = append(changes, Change{Action: "added", Item: n.kind, Name: n.name})
+			changes = append(changes, Change{Action: "added", Item: n.Kind, Name: n.Name})
 			continue
 		}
-		for j, f := range n.fields {
-			if was := before[i].fields[j][1]; was != f[1] {
-				changes = append(changes, Change{Action: "changed", Item: n.kind, Name: n.name, Field: f[0], Old: was, New: f[1]})
+		for j, f := range n.Fields {
+			if was := before[i].Fields[j][1]; was != f[1] {
+				changes = append(changes, Change{Action: "changed", Item: n.Kind, Name: n.Name, Field: f[0], Old: was, New: f[1]})
 			}
 		}
 		before = slices.Delete(before, i, i+1)
 	}
 	for _, o := range before {
-		changes = append(changes, Change{Action: "removed", Item: o.kind, Name: o.name})
+		changes = append(changes, Change{Action: "removed", Item: o.Kind, Name: o.Name})
 	}
 	return changes
 }
 
-func (i item) same(o item) bool { return i.kind == o.kind && i.name == o.name }
+func (i Item) same(o Item) bool { return i.Kind == o.Kind && i.Name == o.Name }
 
-func items(d Document) []item {
-	var list []item
+func items(d Document) []Item {
+	var list []Item
 	add := func(kind, name string, v any) {
-		list = append(list, item{kind: kind, name: name, fields: flatten("", reflect.ValueOf(v))})
+		list = append(list, Item{Kind: kind, Name: name, Fields: flatten("", reflect.ValueOf(v))})
 	}
 	switch d := d.(type) {
 	case *Inventory:
