cmds: check searches rules records for mistakes and tells what they change

Records that are named without a flag are checked by package audit, against the settings of agents and the record in force in a file or in the store. Findings end with exit status 1, a file that can't be read with 2; other documents as before.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 
+	"burdocklift/audit"
 	"burdocklift/conf"
 	"burdocklift/place"
 	"burdocklift/platform"
@@ -17,14 +18,20 @@
 	Inventory string   `help:"Inventory." placeholder:"FILE"`
 	Rules     string   `help:"Rules." placeholder:"FILE"`
 	Agent     []string `help:"Settings of a node on the platform; may be repeated." placeholder:"FILE"`
-	Record    string   `help:"Operators' rules record of the platform, checked against the regions in the settings of --agent." placeholder:"FILE"`
+	Record    string   `help:"Operators' rules record of the platform, checked as nodes do, with the regions in the settings of --agent." placeholder:"FILE"`
+	recordFlags
 }
 
 // Help implements kong.HelpProvider.
 func (*checkCommand) Help() string {
 	return `Checks files without the store and prints every problem with its file and line.
 
-Example: burdocklift check --inventory inventory.toml --rules rules.toml` + statusHelp
+Rules records of the platform that are named without a flag are also searched for probable
+mistakes, and compared with the record of --against or --store. Such findings go to the
+standard output, and the exit status is then 1.
+
+Example: burdocklift check --inventory inventory.toml --rules rules.toml
+Example: burdocklift check record.json --agent settings.toml --against old.json` + statusHelp
 }
 
 // Run checks the files. With --json the problems go to the standard output.
@@ -39,6 +46,7 @@
 		Problems conf.Problems `json:"problems"`
 		// Warnings tell of rules that are valid and probably not meant.
 		Warnings []string `json:"warnings,omitempty"`
+		*recordResult
 	}{Problems: conf.Problems{}}
 	check := func(kind, name string, parse func(string, []byte) error) error {
 		b, err := readFile(name)
@@ -69,11 +77,14 @@
 			return err
 		}
 	}
-	dataCentres := make(map[string]string)
+	site := audit.Site{DataCentres: make(map[string]string)}
 	for _, name := range c.Agent {
 		if err := check("agent settings", name, func(n string, b []byte) error {
 			s, err := conf.ParseAgent(n, b)
-			maps.Copy(dataCentres, s.Regions)
+			maps.Copy(site.DataCentres, s.Regions)
+			if heap := int64(float64(s.Memory<<20) * memoryShare); err == nil && (site.Heap == 0 || heap < site.Heap) {
+				site.Heap = heap
+			}
 			return err
 		}); err != nil {
 			return err
@@ -81,7 +92,7 @@
 	}
 	if c.Record != "" {
 		if err := check("rules record", c.Record, func(n string, b []byte) error {
-			set, err := platform.RulesDecoder(dataCentres)(b)
+			set, err := platform.RulesDecoder(site.DataCentres)(b)
 			if err != nil {
 				return conf.Problems{{File: n, Line: 1, Message: err.Error()}}
 			}
@@ -94,8 +105,20 @@
 			return err
 		}
 	}
+	if len(c.Files) > 0 {
+		var err error
+		if result.recordResult, err = c.checkRecords(e, site); err != nil {
+			return err
+		}
+		for _, name := range c.Files {
+			result.Files = append(result.Files, file{Kind: "rules record", Name: name, OK: !result.failed[name]})
+		}
+	}
+	if len(c.Files) == 0 && (c.Against != "" || c.Store != "") {
+		return fmt.Errorf("%w: --against and --store need a rules record to compare", ErrUsage)
+	}
 	if len(result.Files) == 0 {
-		return fmt.Errorf("%w: name at least one file with --settings, --inventory, --rules, --agent or --record", ErrUsage)
+		return fmt.Errorf("%w: name at least one file, or one with --settings, --inventory, --rules, --agent or --record", ErrUsage)
 	}
 	if err := c.print(e, result, func(w io.Writer) {
 		line(w, "KIND", "FILE", "RESULT")
@@ -105,11 +128,12 @@
 		for _, text := range result.Warnings {
 			line(w, "warning", text)
 		}
+		result.print(w)
 	}); err != nil {
 		return err
 	}
 	if len(result.Problems) > 0 {
 		return result.Problems
 	}
-	return nil
+	return result.err()
 }
--- a/cmds/check_test.go
+++ b/cmds/check_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"burdocklift/emul"
+	"burdocklift/platform"
 	"burdocklift/platform/stand"
 )
 
@@ -57,3 +60,37 @@
 		})
 	}
 }
+
+// Guards against a comparison with another record than the one in force in the store, and
+// against a store without rules that passes for one with the same.
+func TestCheckAgainstStore(t *testing.T) {
+	ledger := emul.NewLedger(0)
+	t.Cleanup(ledger.Close)
+	server := httptest.NewServer(stand.Store(ledger.Client("test")))
+	t.Cleanup(server.Close)
+	record := filepath.Join(t.TempDir(), "record.json")
+	if err := os.WriteFile(record, stand.Rules(2, "h", "desk", []stand.Route{{Prefix: "/a/", Service: "desk"}}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name     string
+		inForce  []byte
+		exit     int
+		out, err string
+	}{
+		{"no rules", nil, ExitFailure, "", "op/config: record not found"},
+		{"older", stand.Rules(1, "h", "desk", []stand.Route{{Prefix: "/a/", Service: "other"}}), ExitOK, "other 1   desk 1", ""},
+		{"newer", stand.Rules(3, "h", "desk", nil), ExitFailure, "does not exceed 00000003", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.inForce != nil {
+				ledger.Put(platform.RulesKey, c.inForce)
+			}
+			var out, errs bytes.Buffer
+			exit := run(context.Background(), []string{"check", record, "--store", server.URL}, &out, &errs)
+			if exit != c.exit || !strings.Contains(out.String(), c.out) || !strings.Contains(errs.String(), c.err) {
+				t.Errorf("exit status %d, want %d, output:\n%s%s", exit, c.exit, &out, &errs)
+			}
+		})
+	}
+}
