--- a/audit/audit.go
+++ b/audit/audit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"burdocklift/place"
 	"burdocklift/rules"
@@ -69,6 +70,7 @@
 type Site struct {
 	DataCentres map[string]string // region of each data centre; empty if not known
 	Heap        int64             // bound on the heap of the smallest node in bytes, 0 if not known
+	RequestTime time.Duration     // after which nodes end any request, 0 if not known
 }
 
 type check struct {
@@ -209,8 +211,11 @@
 	if strings.Contains(r.Prefix, "?") {
 		c.add(Warning, part(rules.FieldPrefix, 0), "route %q never matches: prefix %q has a query, and only paths are compared", r.Name, r.Prefix)
 	}
-	if r.Timeout == 0 {
+	switch {
+	case r.Timeout == 0:
 		c.add(Warning, part(rules.FieldTimeout, 0), "route %q has no timeout", r.Name)
+	case c.site.RequestTime > 0 && r.Timeout > c.site.RequestTime && r.Timeout <= rules.MaxRouteTime:
+		c.add(Warning, part(rules.FieldTimeout, 0), "route %q: timeout %v has no effect, nodes end every request after %v", r.Name, r.Timeout, c.site.RequestTime)
 	}
 	switch {
 	case r.MaxAttempts == 0:
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -47,7 +47,7 @@
 // Guards against faults and mistakes that are not found, against findings in valid rules, and
 // against parts that are named wrongly.
 func TestCheck(t *testing.T) {
-	site := Site{DataCentres: map[string]string{"n1": "north", "s1": "south"}, Heap: smallest}
+	site := Site{DataCentres: map[string]string{"n1": "north", "s1": "south"}, Heap: smallest, RequestTime: time.Minute}
 	for _, c := range []struct {
 		name   string
 		change func(d *Draft)
@@ -93,6 +93,10 @@
 		}, []string{`error route 2.0: route "c": prefix`, `warning service 0.0: service "desk" has keys`, "error service 1.0: -1 requests"}},
 		{"timeout 0", func(d *Draft) { d.Routes[0].Timeout = 0 }, []string{`warning route 0.0: route "a" has no timeout`}},
 		{"negative timeout", func(d *Draft) { d.Routes[0].Timeout = -1 }, []string{`error route 0.0: route "a": timeout -1ns is negative`}},
+		{"longest timeout", func(d *Draft) { d.Routes[0].Timeout = time.Minute }, nil},
+		{"timeout over that of nodes", func(d *Draft) { d.Routes[0].Timeout = rules.MaxRouteTime }, []string{
+			`warning route 0.0: route "a": timeout 10m0s has no effect, nodes end every request after 1m0s`,
+		}},
 		{"long timeout", func(d *Draft) { d.Routes[0].Timeout = rules.MaxRouteTime + 1 }, []string{`error route 0.0: route "a": timeout 10m0.000000001s exceeds 10m0s`}},
 		{"no attempts", func(d *Draft) { d.Routes[0].MaxAttempts = 0 }, []string{`warning route 0.0: route "a": 0 attempts count as 1`}},
 		{"most attempts", func(d *Draft) { d.Routes[0].MaxAttempts = 10 }, nil},
@@ -113,7 +117,7 @@
 		}},
 		{"negative limit", func(d *Draft) { d.Limits.HeaderBytes = -1 }, []string{"warning limits 0.0: -1 is no limit"}},
 		{"idle time", func(d *Draft) { d.Limits.IdleTimeout = 2 * time.Second }, []string{"warning limits 0.0: idle time 2s is under the header time 3s"}},
-		{"body size", func(d *Draft) { d.Limits.BodyBytes = smallest - 20<<20 }, []string{"warning limits 0.0: a request of"}},
+		{"body size", func(d *Draft) { d.Limits.BodyBytes = smallest - 20<<20 - d.Limits.HeaderBytes + 1 }, []string{"warning limits 0.0: a request of"}},
 		{"largest body size", func(d *Draft) { d.Limits.BodyBytes = smallest - 20<<20 - d.Limits.HeaderBytes }, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -124,7 +128,7 @@
 	}
 	t.Run("nothing known of the site", func(t *testing.T) {
 		d := newDraft()
-		d.Routes[0].Regions, d.Limits.BodyBytes = []string{"west"}, 1<<40
+		d.Routes[0].Regions, d.Routes[0].Timeout, d.Limits.BodyBytes = []string{"west"}, rules.MaxRouteTime, 1<<40
 		checkFindings(t, Check(d, Site{}))
 	})
 }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -30,9 +30,9 @@
 	// notReadyRetryAfter is the retry-after of a node that knows no rules yet
 	// and of a service without targets.
 	notReadyRetryAfter = 500 * time.Millisecond
-	// maxRequestTime bounds requests for which neither the route nor the caller
+	// MaxRequestTime bounds requests for which neither the route nor the caller
 	// sets a shorter timeout.
-	maxRequestTime = 60 * time.Second
+	MaxRequestTime = 60 * time.Second
 )
 
 // Serve runs a caller's request on a target and returns its outcome.
@@ -67,7 +67,7 @@
 }
 
 func (r *Router) newJob(req *Request, route *rules.Route, set *rules.Set, begin time.Duration) *job {
-	j := &job{request: req, class: route.Name, urgency: route.Urgency, idempotent: route.Idempotent, regions: route.Regions, deadline: begin + maxRequestTime}
+	j := &job{request: req, class: route.Name, urgency: route.Urgency, idempotent: route.Idempotent, regions: route.Regions, deadline: begin + MaxRequestTime}
 	if route.Timeout > 0 {
 		j.deadline = min(j.deadline, begin+route.Timeout)
 	}
