--- a/cmds/check.go
+++ b/cmds/check.go
@@ -10,6 +10,7 @@
 	"burdocklift/conf"
 	"burdocklift/place"
 	"burdocklift/platform"
+	"burdocklift/serve"
 )
 
 type checkCommand struct {
@@ -28,7 +29,7 @@
 
 Rules records of the platform that are named without a flag are also searched for probable
 mistakes, and compared with the record of --against or --store. Such findings go to the
-standard output, and the exit status is then 1.
+standard output, and the exit status is then 1. It is 2 if a record can't be read.
 
 Example: burdocklift check --inventory inventory.toml --rules rules.toml
 Example: burdocklift check record.json --agent settings.toml --against old.json` + statusHelp
@@ -77,7 +78,7 @@
 			return err
 		}
 	}
-	site := audit.Site{DataCentres: make(map[string]string)}
+	site := audit.Site{DataCentres: make(map[string]string), RequestTime: serve.MaxRequestTime}
 	for _, name := range c.Agent {
 		if err := check("agent settings", name, func(n string, b []byte) error {
 			s, err := conf.ParseAgent(n, b)
--- a/cmds/shared.go
+++ b/cmds/shared.go
@@ -158,7 +158,7 @@
 		return ExitUsage
 	}
 	_, _ = fmt.Fprintf(stderr, "burdocklift: %v\n", err)
-	if errors.Is(err, ErrUsage) || errors.Is(err, conf.ErrInvalid) {
+	if errors.Is(err, ErrUsage) || errors.Is(err, conf.ErrInvalid) || errors.Is(err, errUnread) {
 		return ExitUsage
 	}
 	return ExitFailure
