--- a/cmds/check.go
+++ b/cmds/check.go
@@ -7,6 +7,7 @@
 	"maps"
 
 	"burdocklift/audit"
+	"burdocklift/budget"
 	"burdocklift/conf"
 	"burdocklift/place"
 	"burdocklift/platform"
@@ -83,7 +84,7 @@
 		if err := check("agent settings", name, func(n string, b []byte) error {
 			s, err := conf.ParseAgent(n, b)
 			maps.Copy(site.DataCentres, s.Regions)
-			if heap := int64(float64(s.Memory<<20) * memoryShare); err == nil && (site.Heap == 0 || heap < site.Heap) {
+			if heap := budget.HeapLimit(s.Memory); err == nil && (site.Heap == 0 || heap < site.Heap) {
 				site.Heap = heap
 			}
 			return err
--- a/conf/agent_test.go
+++ b/conf/agent_test.go
@@ -56,12 +56,18 @@
 		"s.toml:5: memory":              {"memory = 284", "memory = 4"},
 		"s.toml:4: store":               {`store = "10.0.0.1:80"`, `store = "host"`},
 		"s.toml:14: addresses.ports":    {"[7000, 7015]", "[7000]"},
+		"limits.hedges":                 {"slack = 56", "slack = 56\nhedges = 0.11"}, // over the default ratio
 		"s.toml:16: limits.drain":       {`"3s"`, `"3"`},
 		"required key is missing":       {`ip = "10.0.0.2"`, ``},
 		"unknown key":                   {`region = "r"`, "region = \"r\"\nseed = 1"},
 		"addresses.called":              {`ip = "10.0.0.2"`, "ip = \"10.0.0.2\"\ncalled = \"host\""},
 		"limits.hold":                   {`drain = "3s"`, `hold = "2s"`},
 		"limits.link":                   {`link = 10.5`, `link = -1`},
+		"limits.header":                 {`link = 10.5`, `header = 100`},
+		"limits.connections":            {`link = 10.5`, `connections = -1`},
+		"more than limits.connections":  {`link = 10.5`, "connections = 10\nclient_connections = 11"},
+		"limits.pause":                  {`link = 10.5`, `pause = "0s"`},
+		"limits.rate":                   {`link = 10.5`, `rate = -1`},
 		"limits.link: must be a finite": {`link = 10.5`, `link = nan`},
 	} {
 		_, err := ParseAgent("s.toml", []byte(strings.Replace(agentText, change[0], change[1], 1)))
--- a/fleet/planner.go
+++ b/fleet/planner.go
@@ -37,6 +37,7 @@
 
 	balanceAt    time.Duration // time at which the load is balanced next
 	serviceRates map[string]serviceRate
+	gather       gathering
 	wasStopping  map[string]bool // nodes that were stopping at the last call of owners
 }
 
@@ -223,6 +224,14 @@
 // to announce themselves, which they do every 0.87 s.
 const initialPlanDelay = 2500 * time.Millisecond
 
+// noteTargets returns when a target of a service was first seen, now at the latest.
+func (p *planner) noteTargets(service string, now time.Duration) time.Duration {
+	if _, ok := p.firstSeen[service]; !ok {
+		p.firstSeen[service] = now
+	}
+	return p.firstSeen[service]
+}
+
 // plan moves keys if this is the planning node: from targets that leave or are lost to the
 // others, and from busy targets to idle ones. It reports whether anything changed.
 func (f *Fleet) plan(d *rangesDraft, service string, now time.Duration) bool {
@@ -230,16 +239,12 @@
 		return false
 	}
 	owners := f.owners(service, now)
-	if len(owners) == 0 {
+	if len(owners) == 0 || f.ownerUnknown(d.Map, now) {
 		return false
 	}
 	m := d.edit()
 	if len(m.Ranges) == 0 {
-		first, ok := f.planner.firstSeen[service]
-		if !ok {
-			f.planner.firstSeen[service] = now
-		}
-		if !ok || now-first < initialPlanDelay {
+		if now-f.planner.noteTargets(service, now) < initialPlanDelay {
 			return false
 		}
 	}
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -29,7 +29,7 @@
 			f.logTarget(before)
 		}
 		f.recordCold(now)
-		if f.synced {
+		if f.synced && f.mayGrant(hb.Service) {
 			reply = f.local.reply(f.ranges[hb.Service], f.cfg.Name, f.grantRight.validUntil, now)
 		}
 		f.publish()
--- a/pick/uneven_test.go
+++ b/pick/uneven_test.go
@@ -25,18 +25,22 @@
 	class          = "search"
 )
 
-// timeline is a queue of events by time.
+// timeline is a queue of events by time. Those of the same time keep their order, so that an
+// event without effect does not change the others.
 type timeline []moment
 
 type moment struct {
-	at time.Duration
-	do func()
+	at     time.Duration
+	number int
+	do     func()
 }
 
-func (q timeline) Len() int           { return len(q) }
-func (q timeline) Less(i, j int) bool { return q[i].at < q[j].at }
-func (q timeline) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *timeline) Push(x any)        { *q = append(*q, x.(moment)) }
+func (q timeline) Len() int { return len(q) }
+func (q timeline) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timeline) Push(x any)   { *q = append(*q, x.(moment)) }
 func (q *timeline) Pop() any {
 	n := len(*q) - 1
 	x := (*q)[n]
@@ -74,10 +78,9 @@
 )
 
 func (t *unevenTarget) factor(at time.Duration) float64 {
-	for _, begin := range t.slow {
-		if at >= begin && at < begin+slowTime {
-			return slowFactor
-		}
+	i, _ := slices.BinarySearch(t.slow, at-slowTime+1) // the first that has not ended
+	if i < len(t.slow) && at >= t.slow[i] {
+		return slowFactor
 	}
 	return 1
 }
@@ -114,16 +117,21 @@
 	now      time.Duration
 	clock    *stepClock
 	events   timeline
+	planned  int // events so far
 	targets  []*unevenTarget
 	pickers  []*pick.Picker
-	expected bool // choose by expected time, and use the figures of the targets
+	pools    [][]pick.Candidate // by node
+	expected bool               // choose by expected time, and use the figures of the targets
 	took     []time.Duration
 	total    int
 	inTime   int
 	crossed  int
 }
 
-func (w *unevenWorld) after(d time.Duration, do func()) { heap.Push(&w.events, moment{w.now + d, do}) }
+func (w *unevenWorld) after(d time.Duration, do func()) {
+	w.planned++
+	heap.Push(&w.events, moment{w.now + d, w.planned, do})
+}
 
 func region(centre int) int { return centre / 2 }
 
@@ -169,6 +177,7 @@
 		w.pickers = append(w.pickers, pick.New(pick.Config{
 			DataCentre: fmt.Sprint(c), Region: fmt.Sprint(region(c)), Clock: w.clock, Seed: seed*1000 + uint64(n),
 		}))
+		w.pools = append(w.pools, w.candidates(n))
 	}
 	return w
 }
@@ -210,7 +219,7 @@
 	} else {
 		c, _ = p.Pick(q.left)
 	}
-	t := w.targets[slices.IndexFunc(w.candidates(q.node), func(x pick.Candidate) bool { return x.Name == c.Name })]
+	t := w.targets[slices.IndexFunc(w.pools[q.node], func(x pick.Candidate) bool { return x.Name == c.Name })]
 	way := latency(centreOf(q.node), t.centre)
 	if c.Local {
 		way = 0
@@ -326,7 +335,7 @@
 			node += unevenNodes / 2
 		}
 		q := &request{
-			node: node, begin: w.now, left: w.candidates(node), deadline: w.now + unevenDeadline,
+			node: node, begin: w.now, left: w.pools[node], deadline: w.now + unevenDeadline,
 			work: time.Duration((0.5 + 0.5*rng.ExpFloat64()) * float64(work)),
 		}
 		w.send(q)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -116,6 +116,7 @@
 	ReasonPeerUnreachable Reason = "peer"     // the owner's node cannot be reached
 	ReasonNoResponse      Reason = "broken"   // no complete response arrived
 	ReasonTooLarge        Reason = "large"    // the response is larger than the node can hold
+	ReasonMemory          Reason = "memory"   // the node has no memory for the request
 	ReasonTimeout         Reason = "timeout"
 	ReasonCallerGone      Reason = "gone"      // the caller disconnected
 	ReasonStopping        Reason = "stopping"  // the target's node stops
@@ -153,6 +154,9 @@
 	// RetrySlack the number of retries allowed beyond it, both over all nodes.
 	RetryRatio float64
 	RetrySlack float64
+	// Hedges is the share of a service's requests that may be sent a second time because
+	// they are slow, at most RetryRatio; 0 for none.
+	Hedges float64
 	// DrainPeriod is how long a leaving target may still get requests.
 	DrainPeriod time.Duration
 	// Uplink is the outgoing link of this host, nil for one without a limit.
@@ -172,6 +176,7 @@
 	latencies *pick.Latencies
 	exchanged [pick.PathCount]atomic.Int64 // bytes of forwarded requests and their results, by path
 	nested    nested.Detector
+	hedges    *hedges         // nil if none are allowed
 	aborted   context.Context // cancelled when requests in flight must end at once
 	abort     context.CancelFunc
 
@@ -199,12 +204,17 @@
 		cfg: cfg, splits: make(map[string]*trafficSplit), pickers: make(map[string]*pick.Picker),
 		retries: make(map[string]retryPolicies), latencies: pick.NewLatencies(cfg.DataCentre, cfg.Region),
 	}
+	if cfg.Hedges > 0 {
+		r.hedges = newHedges(cfg.Hedges)
+	}
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	r.SetDrainPeriod(cfg.DrainPeriod)
 	r.guard = poison.NewGuard(cfg.Clock, r.notify)
 	r.admission.FollowCold(r.coldLimit, cfg.Clock.Elapsed())
 	cfg.Fleet.SetCrashLog(r.guard)
 	cfg.Peers.Handle(MethodServe, r.handleServe)
+	cfg.Peers.HandleRefusal(MethodServe, refuseForwarded)
+	cfg.Peers.HandleRefusal(MethodServeTerse, func() []byte { return encodeTerseResult(&memoryRefusal, forwardedLoad{}) })
 	cfg.Peers.Handle(MethodServeTerse, r.handleServeTerse)
 	cfg.Peers.Announce(acceptsTerse)
 	cfg.Peers.Handle(MethodNotice, r.handleNotice)
@@ -227,6 +237,7 @@
 	r.stats.SetGauge("uplink_pending_bytes", r.cfg.Uplink.Pending())
 	r.setUnevenGauges()
 	r.setEvacuationGauges()
+	r.hedges.setGauges(&r.stats)
 	return &r.stats
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -82,6 +82,7 @@
 	stops   map[string]func() // end a node and wait for its end
 	prepare func(target *fakeTarget)
 	connect func(name string, peers *peer.Transport) // called before a node runs, if not nil
+	hedges  float64                                  // share of requests that may get a copy
 	// coldUntil holds the time.Time up to which the target beside a node says that it is cold.
 	coldUntil sync.Map
 }
@@ -175,7 +176,10 @@
 	if bytes.Equal(b, coldRules) {
 		coldRate = 15
 	}
+	single := route("list", "archive", true)
+	single.MaxAttempts = 1
 	return rules.New(version, rules.Limits{}, []rules.Route{
+		single,
 		route("look", "desk", true), route("pay", "desk", false), route("read", "archive", true), route("fetch", "archive", false),
 	}, []rules.Service{{Name: "desk", Sharded: true}, {Name: "archive", ColdRate: coldRate}})
 }
@@ -198,6 +202,7 @@
 	s.routers[name] = serve.New(serve.Config{
 		Name: name, DataCentre: name, Region: "r-" + name[:1], Fleet: f, Peers: peers, Target: target, Clock: c,
 		Log: log, RetryRatio: 1, RetrySlack: 20, DrainPeriod: 2 * time.Second,
+		Hedges: s.hedges,
 	})
 	if s.connect != nil {
 		s.connect(name, peers)
