audit, budget: the largest body is compared with what nodes have for bodies

The check of a rules record compared it with 70% of the memory less that of an idle node, which is more than nodes reserve for bodies. Its expected output names the smaller figure.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -26,8 +26,6 @@
 	// maxAttempts is the number of attempts over which a route is reported: each attempt
 	// counts against the retry budget, which is at most a fifth of the requests at present sites.
 	maxAttempts = 10
-	// idleBytes is the memory in bytes that a node without requests takes.
-	idleBytes = 20 << 20
 )
 
 // Item is the kind of a part of a draft.
@@ -69,7 +67,7 @@
 // Site is what is known of the site that the version is for.
 type Site struct {
 	DataCentres map[string]string // region of each data centre; empty if not known
-	Heap        int64             // bound on the heap of the smallest node in bytes, 0 if not known
+	LargestBody int64             // request that the smallest node has room for in bytes, 0 if not known
 	RequestTime time.Duration     // after which nodes end any request, 0 if not known
 }
 
@@ -130,7 +128,7 @@
 	}
 	// A body is held as a whole at least once.
 	size := int64(max(l.BodyBytes, 0)) + int64(max(l.HeaderBytes, 0))
-	if room := c.site.Heap - idleBytes; c.site.Heap > 0 && size > room {
+	if room := c.site.LargestBody; room > 0 && size > room {
 		c.add(Warning, Part{Item: Limits, Field: rules.FieldBodyBytes},
 			"a request of %d bytes does not fit in the %d bytes that the smallest node has for requests", size, room)
 	}
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// smallest is the heap in bytes of the smallest nodes of present sites: 70 % of 184 MiB.
-const smallest = 184 << 20 / 10 * 7
+// smallest is the request in bytes that the smallest nodes of a site have room for.
+const smallest = 70 << 20
 
 // checkFindings compares findings with the wanted ones, as severity, part and message, of which
 // the beginning is enough.
@@ -47,7 +47,7 @@
 // Guards against faults and mistakes that are not found, against findings in valid rules, and
 // against parts that are named wrongly.
 func TestCheck(t *testing.T) {
-	site := Site{DataCentres: map[string]string{"n1": "north", "s1": "south"}, Heap: smallest, RequestTime: time.Minute}
+	site := Site{DataCentres: map[string]string{"n1": "north", "s1": "south"}, LargestBody: smallest, RequestTime: time.Minute}
 	for _, c := range []struct {
 		name   string
 		change func(d *Draft)
@@ -117,8 +117,8 @@
 		}},
 		{"negative limit", func(d *Draft) { d.Limits.HeaderBytes = -1 }, []string{"warning limits 0.0: -1 is no limit"}},
 		{"idle time", func(d *Draft) { d.Limits.IdleTimeout = 2 * time.Second }, []string{"warning limits 0.0: idle time 2s is under the header time 3s"}},
-		{"body size", func(d *Draft) { d.Limits.BodyBytes = smallest - 20<<20 - d.Limits.HeaderBytes + 1 }, []string{"warning limits 0.0: a request of"}},
-		{"largest body size", func(d *Draft) { d.Limits.BodyBytes = smallest - 20<<20 - d.Limits.HeaderBytes }, nil},
+		{"body size", func(d *Draft) { d.Limits.BodyBytes = smallest - d.Limits.HeaderBytes + 1 }, []string{"warning limits 0.0: a request of"}},
+		{"largest body size", func(d *Draft) { d.Limits.BodyBytes = smallest - d.Limits.HeaderBytes }, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := newDraft()
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -112,13 +112,19 @@
 	return &Hold{account: a}
 }
 
+// LargestBody returns the size in bytes of the largest request that a process with a memory in
+// MiB has room for.
+func LargestBody(memory int) int64 { return bodyPart(Size(memory)) }
+
+func bodyPart(size int64) int64 { return size * 13 / 16 }
+
 // limit returns how much of the account a message of a kind may use. A sixteenth is kept for
 // small messages and an eighth for answers, so that what runs ends. The rest has room for a
 // body of 64 MiB with a memory of 184 MiB, that of the smallest hosts.
 func (a *Account) limit(k Kind) int64 {
 	switch k {
 	case Body:
-		return a.usage.Size * 13 / 16
+		return bodyPart(a.usage.Size)
 	case Answer:
 		return a.usage.Size * 15 / 16
 	}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -160,3 +160,11 @@
 		}
 	}
 }
+
+// Guards against a bound that nodes of the smallest hosts can't keep: a body of 64 MiB with its
+// head has to fit.
+func TestLargestBody(t *testing.T) {
+	if n := budget.LargestBody(184); n < 64<<20+16<<10 || n >= budget.Size(184) {
+		t.Errorf("room for a body of %d bytes of %d, want 64 MiB and 16 KiB", n, budget.Size(184))
+	}
+}
--- a/cmds/check.go
+++ b/cmds/check.go
@@ -84,8 +84,8 @@
 		if err := check("agent settings", name, func(n string, b []byte) error {
 			s, err := conf.ParseAgent(n, b)
 			maps.Copy(site.DataCentres, s.Regions)
-			if heap := budget.HeapLimit(s.Memory); err == nil && (site.Heap == 0 || heap < site.Heap) {
-				site.Heap = heap
+			if room := budget.LargestBody(s.Memory); err == nil && (site.LargestBody == 0 || room < site.LargestBody) {
+				site.LargestBody = room
 			}
 			return err
 		}); err != nil {
