--- a/fleet/local.go
+++ b/fleet/local.go
@@ -52,6 +52,7 @@
 	ColdRemaining time.Duration // for which the target remains cold
 	Holds         []KeyRange
 	Released      []ReleasedRange
+	Unlisted      bool // it does not tell which keys the target holds
 }
 
 // HeartbeatReply tells a target which keys it may hold, and for how long after it sent the
@@ -236,7 +237,7 @@
 	if now >= l.holdEndsBy && l.holdEndsBy > 0 {
 		return true
 	}
-	if !l.present || inc != l.heartbeat.Incarnation {
+	if !l.present || inc != l.heartbeat.Incarnation || l.heartbeat.Unlisted {
 		return false
 	}
 	// A heartbeat from before the grants of an earlier run may arrive late, and this run
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -28,14 +28,13 @@
 // Rules returns the rules in force, or nil if none are known yet.
 func (v *View) Rules() *rules.Set { return v.rules }
 
-// MayHaveKeys reports whether a service has keys that targets own, as far as the rules are known.
-func (v *View) MayHaveKeys(service string) bool {
-	if v.rules == nil {
-		return true
+// HasKeys reports whether a service is known to have keys that targets own.
+func (v *View) HasKeys(service string) bool {
+	if _, owned := v.ranges[service]; owned || v.rules == nil {
+		return owned
 	}
-	_, owned := v.ranges[service]
 	s, _ := v.rules.Service(service)
-	return owned || s.Sharded
+	return s.Sharded
 }
 
 // Policy returns what restricts the placement of work.
