--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -28,6 +28,7 @@
 	zones       = 3
 	startKeys   = 32
 	startLimit  = 20 * time.Second
+	rulesKey    = platform.RulesKey
 )
 
 // Ports of a node.
@@ -51,10 +52,12 @@
 	record io.Writer
 
 	ledger *emul.Ledger
+	rules  []byte // in the store
 	store  *http.Server
 	nodes  []*node
 
 	// Settings of a case. The zero values stand for those of a small site.
+	era        uint64                          // of the store, 0 if it names none
 	memory     int                             // of a node, in MiB
 	link       float64                         // of a machine, in Mbit/s
 	wrapTarget func(http.Handler) http.Handler // changes the answers of targets
@@ -103,7 +106,9 @@
 	}
 	l.store = &http.Server{Handler: stand.Store(l.ledger.Client("lab")), ReadHeaderTimeout: time.Second}
 	go func() { _ = l.store.Serve(listener) }() // ends with close
-	l.ledger.Put(platform.RulesKey, rules)
+	l.ledger.SetEra(l.era)
+	l.rules = rules
+	l.ledger.Put(rulesKey, rules)
 	return listener.Addr().String(), nil
 }
 
