review: each run of a script has loopback addresses of its own

Change: addresses by the number of the process; the record tells the last line of each node's log if a site does not start.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -87,6 +88,12 @@
 	_, _ = fmt.Fprintf(l.record, "%8.3f s  %s\n", time.Since(l.began).Seconds(), fmt.Sprintf(format, args...)) // for people
 }
 
+// address returns the loopback address of a node, which no other run has.
+func address(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%250, 1+i)
+}
+
 // freePort returns a port that nobody listens on.
 func freePort(ip string) (int, error) {
 	l, err := net.Listen("tcp", ip+":0")
@@ -188,6 +195,9 @@
 			return nil
 		}
 	}
+	for _, n := range l.nodes {
+		l.notef("the log of node %s ends with %s", n.name, n.lastLine())
+	}
 	return fmt.Errorf("%w: requests are not served %v after the start", errSetup, startLimit)
 }
 
@@ -211,7 +221,7 @@
 
 // addNode writes the settings of a node as deploy/settings.toml renders them.
 func (l *lab) addNode(name, zone, store string) (*node, error) {
-	n := &node{lab: l, name: name, ip: fmt.Sprintf("127.0.0.%d", 10+len(l.nodes))}
+	n := &node{lab: l, name: name, ip: address(len(l.nodes))}
 	for i := range n.ports {
 		var err error
 		if n.ports[i], err = freePort(n.ip); err != nil {
@@ -258,7 +268,7 @@
 // start starts the node with the command of the deploy file.
 func (n *node) start() error {
 	n.started++
-	log, err := os.Create(filepath.Join(n.lab.dir, fmt.Sprintf("%s-%d.log", n.name, n.started)))
+	log, err := os.Create(n.logFile())
 	if err != nil {
 		return err
 	}
@@ -269,6 +279,20 @@
 	return n.cmd.Start()
 }
 
+// lastLine returns the last line of the log.
+func (n *node) lastLine() string {
+	text, err := os.ReadFile(n.logFile())
+	if err != nil {
+		return err.Error()
+	}
+	text = bytes.TrimSpace(text)
+	return string(text[bytes.LastIndexByte(text, '\n')+1:])
+}
+
+func (n *node) logFile() string {
+	return filepath.Join(n.lab.dir, fmt.Sprintf("%s-%d.log", n.name, n.started))
+}
+
 func (n *node) kill() {
 	if n.cmd != nil {
 		_ = n.cmd.Process.Kill() // it may have ended
