--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -16,6 +16,7 @@
 type caller struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	header string // sent with each request, empty for none
 }
 
 // dialCaller returns nil if the node does not accept the connection.
@@ -46,8 +47,12 @@
 	if err := c.conn.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Shard-Key: %d\r\n\r\n",
-		method, path, host, id, limit.Milliseconds(), key)
+	more := ""
+	if c.header != "" {
+		more = c.header + "\r\n"
+	}
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Shard-Key: %d\r\n%s\r\n",
+		method, path, host, id, limit.Milliseconds(), key, more)
 	return err
 }
 
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -163,10 +163,13 @@
 	return l.awaitOwners()
 }
 
+// targetID returns the id of a life of the target beside a node.
+func targetID(node string, life int) string { return fmt.Sprintf("i-%s-%d", node, life) }
+
 // startTarget starts a life of the target beside the node.
 func (n *node) startTarget(c stand.Config) error {
 	n.targets++
-	c.ID, c.StartedAt, c.Service, c.Sharded = fmt.Sprintf("i-%s-%d", n.name, n.targets), time.Now(), desk, true
+	c.ID, c.StartedAt, c.Service, c.Sharded = targetID(n.name, n.targets), time.Now(), desk, true
 	c.Address, c.Node, c.Slots = n.at(portTarget), n.at(portHeartbeat), targetSlots
 	if n.lab.wrapTarget != nil {
 		c.Address = n.ip + ":0"
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -20,7 +20,7 @@
 type play func(l *lab, trouble bool) (broken int, err error)
 
 func main() {
-	plays := map[string]play{"evict": playEvict, "uplink": playUplink, "ping": playPing, "drill": playDrill}
+	plays := map[string]play{"evict": playEvict, "uplink": playUplink, "ping": playPing, "drill": playDrill, "header": playHeader}
 	if len(os.Args) != 4 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab CASE NODE-PROGRAM RECORD")
 		os.Exit(2)
--- a/review/lab/ping.go
+++ b/review/lab/ping.go
@@ -24,14 +24,27 @@
 // playPing sends a node one ping of another writer, which lacks its address, and watches
 // whether two targets hold the same keys.
 func playPing(l *lab, trouble bool) (int, error) {
+	renewed := make(chan struct{}, 1)
 	err := l.startSite(pingNodes, stand.Config{
 		WorkTime: func() time.Duration { return 50 * time.Millisecond }, OnExecution: func(*stand.Target, stand.Execution) {},
+		OnHoldsChange: func(t *stand.Target) {
+			if t.ID() != targetID(l.nodes[0].name, 1) {
+				return
+			}
+			select {
+			case renewed <- struct{}{}:
+			default:
+			}
+		},
 	})
 	if err != nil {
 		return 0, err
 	}
 	time.Sleep(watchTime / 4)
 	l.noteHolds()
+	// The ping comes just after the node has renewed the hold of its target.
+	<-renewed
+	<-renewed
 	if trouble {
 		if err := l.sendForeignPing(l.nodes[0]); err != nil {
 			return 0, err
