platform, fleet: a heartbeat of another program ends no hold

The true target got no keys any more.

And a heartbeat with a later start replaced the target at once, with its hold counted as ended.

A later life waits until the present one has been silent for 2.2 s and its hold has ended, or refuses connections; it is acknowledged meanwhile and granted nothing. This works as the present target renews its hold as long as it is heard, and no message alone ends that. Refusals are counted and logged with id and field, a life that waits once.

Related: deregistrations of other ids changed nothing, and are logged now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,6 +79,8 @@
 	refusals    errorLog // of clients and connections over the limits
 	stopping    atomic.Bool
 	inFlight    gauge // requests of callers
+
+	heartbeatsRefused atomic.Int64
 }
 
 // apply applies the settings that can change without a restart.
@@ -194,6 +196,7 @@
 // targetHandler returns the handler for the target's heartbeats.
 func (a *Agent) targetHandler() http.Handler {
 	return platform.TargetHandler(a.fleet, a.settings.Target.Service, a.clock, func(id string, reason error) {
+		a.heartbeatsRefused.Add(1)
 		a.inputErrors.report(context.Background(), eventHeartbeatRefused, id, reason)
 	})
 }
@@ -260,6 +263,7 @@
 func (a *Agent) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	a.recordLimits()
+	a.router.Metrics().SetGauge("heartbeats_refused", a.heartbeatsRefused.Load())
 	if era, ok := a.fleet.Era(); ok {
 		a.router.Metrics().SetGauge("store_era", int64(min(era, math.MaxInt64)))
 	}
--- a/agent/event.go
+++ b/agent/event.go
@@ -23,8 +23,9 @@
 		"All requests of a stopping node have ended.",
 		"None.")
 	eventHeartbeatRefused = event.Define(3106, "heartbeat refused", slog.LevelWarn,
-		"A heartbeat is invalid and was ignored. The same reason is logged at most once a minute.",
-		"Find the program that sends the heartbeat.")
+		"A heartbeat lacks a field, has it with another type or with an invalid value, and was ignored. The reason names the field. "+
+			"The same reason is logged at most once a minute; heartbeats_refused in the metrics counts all.",
+		"Find the program that sends the heartbeat. If it is the target beside the node, compare target.service in the settings.")
 	eventCallRefused = event.Define(3107, "call refused", slog.LevelInfo,
 		"A request of a caller could not be read or exceeds the limits. The same reason is logged at most once a minute.",
 		"Report the error to the owner of the caller.")
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -16,6 +16,13 @@
 	eventHeartbeatStale = event.Define(3002, "heartbeat stale", slog.LevelDebug,
 		"A heartbeat of an earlier incarnation, or an older one of the present incarnation, arrived late and was ignored.",
 		"None.")
+	eventTargetNotReplaced = event.Define(3018, "target not replaced", slog.LevelWarn,
+		"A heartbeat names a later start or another id than the target beside the node, which sends heartbeats or may hold keys. It gets no "+
+			"keys or requests until the present one has been silent for 2.2 s or refuses connections. Logged once for each such start.",
+		"None if the target was restarted. Otherwise find the program that sends the heartbeat.")
+	eventOtherDeparture = event.Define(3019, "departure of another target", slog.LevelInfo,
+		"A target with another id than the one beside the node is deregistered. It counts as leaving if it announces itself later.",
+		"None if that target was stopped. Otherwise find the program that deregisters it.")
 	eventRangesWritten = event.Define(3003, "ranges written", slog.LevelInfo,
 		"The node wrote member records or the ranges of a service. The reason says what changed in the ranges: moved, released, "+
 			"renewed (a target restarted) or settled (the right of an earlier owner's node has ended).",
--- a/fleet/local.go
+++ b/fleet/local.go
@@ -77,6 +77,8 @@
 	// earlierHoldEndsBy is the latest end of any hold that an earlier run of this node granted.
 	earlierHoldEndsBy time.Duration
 
+	successor successor // zero if no other incarnation was heard
+
 	coldness coldness
 
 	limit           float64       // requests a second that the target names
@@ -115,6 +117,36 @@
 	return hb.Incarnation.StartedAt < l.heartbeat.Incarnation.StartedAt || hb.Incarnation.Target != l.heartbeat.Incarnation.Target || hb.Sequence <= l.heartbeat.Sequence
 }
 
+// mayStillRun reports whether the present incarnation of the target may hold keys or take
+// requests, as far as this node knows. Another one takes its place only when it does not: a
+// heartbeat of another program may name a later start.
+func (l *localTarget) mayStillRun(now time.Duration) bool {
+	return l.present && (now < l.holdEndsBy || !l.heartbeat.Lost && now-l.heardAt <= targetLostAfter)
+}
+
+// successor is an incarnation that waits until the present one has certainly ended.
+type successor struct {
+	heartbeat Heartbeat
+	heardAt   time.Duration
+}
+
+// await keeps a heartbeat of a later incarnation. It reports whether that is the first one of
+// this incarnation.
+func (l *localTarget) await(hb Heartbeat, now time.Duration) bool {
+	isFirst := l.successor.heartbeat.Incarnation != hb.Incarnation
+	if isFirst || hb.Sequence > l.successor.heartbeat.Sequence {
+		l.successor = successor{hb, now}
+	}
+	return isFirst
+}
+
+// awaited returns the incarnation that waits for the end of the present one, if it was heard
+// a short time ago.
+func (l *localTarget) awaited(now time.Duration) (successor, bool) {
+	s := l.successor
+	return s, s.heardAt > 0 && now-s.heardAt <= targetLostAfter
+}
+
 // receive applies a heartbeat that is not stale. Leaving is final for an incarnation.
 func (l *localTarget) receive(hb Heartbeat, now time.Duration) {
 	if !l.present || hb.Incarnation != l.heartbeat.Incarnation {
@@ -232,7 +264,7 @@
 // keys says so.
 func (l *localTarget) holdsNone(inc span.Incarnation, r span.Range, now time.Duration) bool {
 	if l.present && inc.StartedAt < l.heartbeat.Incarnation.StartedAt {
-		return true // an earlier incarnation has ended
+		return true // an earlier incarnation has ended, see mayStillRun
 	}
 	if now >= l.holdEndsBy && l.holdEndsBy > 0 {
 		return true
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -8,7 +8,8 @@
 	"burdocklift/span"
 )
 
-// Heartbeat applies a heartbeat of the target and returns which keys it may hold.
+// Heartbeat applies a heartbeat of the target and returns which keys it may hold. A later
+// incarnation gets none before the present one has ended.
 func (f *Fleet) Heartbeat(ctx context.Context, hb Heartbeat) (HeartbeatReply, error) {
 	var reply HeartbeatReply
 	err := f.post(ctx, func(now time.Duration) {
@@ -16,18 +17,14 @@
 			eventHeartbeatStale.Log(ctx, f.cfg.Log, slog.String("target", hb.Incarnation.Target), slog.Uint64("sequence", hb.Sequence))
 			return
 		}
-		before := f.local.heartbeat.Target
-		if d, ok := f.departures[hb.Incarnation.Target]; ok && hb.Incarnation.StartedAt <= d.maxStartedAt {
-			hb.Leaving = true
-		}
-		f.local.receive(hb, now)
-		f.inheritLimit(f.members[f.cfg.Name])
-		if hb.Leaving && f.departures[hb.Incarnation.Target].since > 0 {
-			f.local.leavingSince = min(f.local.leavingSince, f.departures[hb.Incarnation.Target].since)
-		}
-		if before != f.local.heartbeat.Target {
-			f.logTarget(before)
+		if present := f.local.heartbeat.Incarnation; hb.Incarnation != present && f.local.mayStillRun(now) {
+			if f.local.await(hb, now) {
+				eventTargetNotReplaced.Log(ctx, f.cfg.Log, slog.String("target", hb.Incarnation.Target), slog.Int64("born", hb.Incarnation.StartedAt),
+					slog.String("present", present.Target), slog.Int64("present_born", present.StartedAt))
+			}
+			return
 		}
+		f.applyHeartbeat(hb, now)
 		f.recordCold(now)
 		if f.synced && f.mayGrant(hb.Service) {
 			reply = f.local.reply(f.ranges[hb.Service], f.cfg.Name, f.grantRight.validUntil, now)
@@ -37,6 +34,36 @@
 	return reply, err
 }
 
+// applyHeartbeat applies a heartbeat of the present incarnation, or of one that takes its
+// place.
+func (f *Fleet) applyHeartbeat(hb Heartbeat, heardAt time.Duration) {
+	before := f.local.heartbeat.Target
+	departure, departed := f.departures[hb.Incarnation.Target]
+	if departed && hb.Incarnation.StartedAt <= departure.maxStartedAt {
+		hb.Leaving = true
+	}
+	f.local.receive(hb, heardAt)
+	f.inheritLimit(f.members[f.cfg.Name])
+	if hb.Leaving && departure.since > 0 {
+		f.local.leavingSince = min(f.local.leavingSince, departure.since)
+	}
+	if before != f.local.heartbeat.Target {
+		f.logTarget(before)
+	}
+}
+
+// replaceTarget lets the later incarnation that waits take the place of the present one once
+// that has ended. It reports whether there is such an incarnation.
+func (f *Fleet) replaceTarget(now time.Duration) bool {
+	s, ok := f.local.awaited(now)
+	if ok && !f.local.mayStillRun(now) {
+		f.applyHeartbeat(s.heartbeat, s.heardAt)
+		f.recordCold(now)
+		f.publish()
+	}
+	return ok
+}
+
 // departure is what is known of a target that leaves.
 type departure struct {
 	since        time.Duration
@@ -93,6 +120,9 @@
 	return f.post(ctx, func(now time.Duration) {
 		if _, ok := f.departures[target]; !ok && len(f.departures) < maxDepartures {
 			f.departures[target] = departure{since: now, maxStartedAt: f.cfg.Clock.Now().UnixMilli()}
+			if present := f.local.heartbeat.Incarnation.Target; f.local.present && present != target {
+				eventOtherDeparture.Log(ctx, f.cfg.Log, slog.String("target", target), slog.String("present", present))
+			}
 		}
 		if !f.local.present || f.local.heartbeat.Incarnation.Target != target || f.local.heartbeat.Leaving {
 			return
@@ -134,6 +164,9 @@
 	if f.local.coldness.clearAt > 0 || f.local.heartbeat.Cold {
 		f.recordCold(now)
 	}
+	if f.replaceTarget(now) {
+		return // the keys of a restarted target stay with it
+	}
 	if f.local.present && !f.local.heartbeat.Lost && now-f.local.heardAt > targetLostAfter {
 		before := f.local.heartbeat.Target
 		f.local.heartbeat.Lost = true
--- a/soak/main.go
+++ b/soak/main.go
@@ -169,6 +169,7 @@
 		}
 	}
 	faults, endFaults := context.WithTimeout(ctx, o.Time)
+	group.Go(func() { r.sendOthers(faults, o.Seed) })
 	r.Play(faults)
 	endFaults()
 	r.report("all disturbances end")
