fleet: each era of the store has epochs of its own

A target that has seen a higher number on a key refuses it, and nobody serves the key.

Cause: epochs after a restore were 2^20 above the highest that anyone still showed, as a few seconds of lost writes issue fewer. The lost writes may hold such a gap themselves: back before the last restore, with nobody left who remembers it, the sum is the same as the last time.

Change: era E of the store issues epochs from E x 2^32 on. The era comes with each reply of the store and does not go back with it, so this needs nobody's memory. Every write of ranges issues from there at least, also after a node of the version before has written them. Releases name the era of their ranges, so that a late one of an earlier era does not count for restored ranges. Rows of replies have up to 50 bytes instead of 45.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -21,11 +21,28 @@
 	// operatorGrace is how long records of operators that a restored store lacks stay in
 	// force. Operators write them again some seconds after a restore.
 	operatorGrace = 15 * time.Second
-	// epochGap is added to the epochs after a restore. The writes lost in a few seconds
-	// have used fewer: at most 50 writes a second with an epoch for each of 1,200 targets.
+	// epochsPerEra is the number of epochs that each era of the store has for itself. At most
+	// 50 writes a second with an epoch for each of 1,200 targets use them up in 20 hours; in
+	// operation a site moves its keys a few times a minute.
+	epochsPerEra = 1 << 32
+	// maxEpochEras bounds the eras with epochs of their own. Targets may read numbers as
+	// floating point numbers, which represent integers up to 2^53 exactly.
+	maxEpochEras = 1<<21 - 1
+	// epochGap is added to the highest known epoch after a restore, for eras that have used
+	// up their epochs or have none of their own.
 	epochGap = 1 << 20
 )
 
+// lastEpochBefore returns the highest epoch that belongs to earlier eras of the store than a
+// given one. Epochs above it were issued in no earlier era, also if nobody remembers what
+// these have issued.
+func lastEpochBefore(era uint64) uint64 {
+	if era <= firstEra {
+		return 0
+	}
+	return min(era-firstEra, maxEpochEras)*epochsPerEra - 1
+}
+
 // eras is what a node knows of restores of the store from older copies. Each begins an
 // era. It is owned by the loop, except for known.
 type eras struct {
--- a/fleet/freed.go
+++ b/fleet/freed.go
@@ -32,6 +32,8 @@
 // releaseRequest reports releases by service.
 type releaseRequest struct {
 	Releases map[string][]span.Release `cbor:"1,keyasint"`
+	// Era is that of the ranges to which the releases apply, 0 if the sender knows none.
+	Era uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // releaseTracker tracks released keys that the records do not show yet.
@@ -138,6 +140,9 @@
 		return nil, err
 	}
 	err := f.post(ctx, func(now time.Duration) {
+		if c.Era != 0 && !f.enterEra(c.Era, now) {
+			return // the restored ranges may show other owners
+		}
 		for service, releases := range c.Releases {
 			if !slices.Contains(f.shardedServices(), service) {
 				continue // the reporting node records them itself
--- a/fleet/gather.go
+++ b/fleet/gather.go
@@ -299,7 +299,7 @@
 		return store.Txn{}, false
 	}
 	m = m.Clone()
-	m.RaiseEpochs(max(g.maxEpoch, f.shownEpoch())+epochGap, renewed)
+	m.RaiseEpochs(max(lastEpochBefore(f.eras.now), max(g.maxEpoch, f.shownEpoch())+epochGap), renewed)
 	m.Era = f.eras.now
 	value, err := m.Encode()
 	if err != nil {
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -38,6 +38,11 @@
 	// crashLog is that of the nodes that are started next.
 	crashLog fleet.CrashLog
 
+	// heartbeatDelay returns how long a heartbeat is held up on its way; nil for not at all.
+	// The target gets no reply to one that is.
+	heartbeatDelay func() time.Duration
+
+	starting   sync.Mutex // held while missing nodes are started
 	mu         sync.Mutex
 	faults     emul.LedgerFaults
 	nodes      map[string]*node
@@ -235,7 +240,19 @@
 		Sequence:      t.sequence, Holds: append(slices.Clone(t.holds), t.revoked...), Released: slices.Clone(t.released),
 	}
 	silent := t.silent
+	delay := time.Duration(0)
+	if w.heartbeatDelay != nil {
+		delay = w.heartbeatDelay()
+	}
 	w.mu.Unlock()
+	if delay > 0 && !silent {
+		w.after(delay, func() {
+			if f := w.node(t.node); f != nil {
+				_, _ = f.Heartbeat(w.ctx, hb) // the target waits for the reply no more
+			}
+		})
+		silent = true
+	}
 	if f := w.node(t.node); f != nil && !silent {
 		sent := w.clock.Elapsed()
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -58,7 +58,7 @@
 		txn, reason = f.crashRemovalTxn(now)
 	}
 	if len(f.releases.unsent) > 0 {
-		go f.sendReleases(ctx, f.leader, releaseRequest{Releases: f.releases.unsent})
+		go f.sendReleases(ctx, f.leader, releaseRequest{Releases: f.releases.unsent, Era: f.eras.now})
 		f.releases.unsent = make(map[string][]span.Release)
 	}
 	if reason == "" {
@@ -228,6 +228,8 @@
 		}
 		old, ok := f.ranges[service]
 		m := &rangesDraft{Map: old, shared: true}
+		// A node of a version that does not reserve epochs for eras may have written them.
+		m.RaiseEpochs(lastEpochBefore(f.eras.now), false)
 		reason := ""
 		add := func(changed bool, why string) {
 			if changed {
--- a/soak/check.go
+++ b/soak/check.go
@@ -21,12 +21,19 @@
 	mu       sync.Mutex
 	requests map[string]*request
 	targets  map[*stand.Target]bool
+	grants   map[grant]bool // all so far
 	broken   []string
 	notes    []string
 	counts   map[string]int // by status, or "error"
 	began    time.Time
 }
 
+// grant is keys that a target was given.
+type grant struct {
+	target string
+	keys   stand.KeyRange
+}
+
 type request struct {
 	repeats bool
 	runs    int
@@ -39,7 +46,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		requests: make(map[string]*request), targets: make(map[*stand.Target]bool),
-		counts: make(map[string]int), began: time.Now(),
+		grants: make(map[grant]bool), counts: make(map[string]int), began: time.Now(),
 	}
 }
 
@@ -104,6 +111,9 @@
 	defer c.mu.Unlock()
 	mine := t.Holds()
 	c.targets[t] = true
+	for _, k := range mine {
+		c.granted(grant{t.ID(), k})
+	}
 	for o := range c.targets {
 		if o == t {
 			continue
@@ -119,6 +129,21 @@
 	}
 }
 
+// granted notes keys that a target was given, and that their epoch is above all with which
+// other targets had them. The lock is held.
+func (c *Checker) granted(g grant) {
+	if c.grants[g] {
+		return
+	}
+	for o := range c.grants {
+		if o.target != g.target && o.keys.From <= g.keys.To && g.keys.From <= o.keys.To && o.keys.Epoch >= g.keys.Epoch {
+			c.breaks("EPOCH", "keys %d to %d are given to %s with epoch %d, %s had %d to %d with %d",
+				g.keys.From, g.keys.To, g.target, g.keys.Epoch, o.target, o.keys.From, o.keys.To, o.keys.Epoch)
+		}
+	}
+	c.grants[g] = true
+}
+
 // Answer notes how a request ended for its caller: with a status and a whole answer,
 // or with an error. Planned tells that it was sent in a calm time to a node that was
 // told to stop.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -168,16 +168,7 @@
 			r.note(drainTime+lingerTime+restartSlack, "target of %s leaves, as its responses tell", m.name)
 			r.later(ctx, 0, func() { r.replaceTarget(ctx, m, (*stand.Target).Leave) })
 		case 18:
-			r.note(d+restartSlack, "all nodes killed for %v", d)
-			for _, m := range r.site.machines {
-				m.Disturb(d + restartSlack)
-				m.Kill()
-			}
-			r.later(ctx, d, func() {
-				for _, m := range r.site.machines {
-					r.restart(m)
-				}
-			})
+			r.killAll(ctx, d)
 		}
 	}
 	r.steps.Wait()
--- a/soak/main.go
+++ b/soak/main.go
@@ -28,6 +28,7 @@
 	Nodes   int           `help:"Number of nodes, 2 to 100." default:"6"`
 	Binary  string        `help:"Program to run; built from this module if empty." type:"existingfile"`
 	Dir     string        `help:"Directory for settings and logs; a temporary one if empty." type:"path"`
+	Series  bool          `help:"Bring the store back from older copies in series as well, with kills of all nodes between."`
 	Plant   string        `help:"Fault to be found: ${plants}."`
 	Verbose bool          `help:"Print each step of the schedule."`
 }
@@ -170,6 +171,9 @@
 	}
 	faults, endFaults := context.WithTimeout(ctx, o.Time)
 	group.Go(func() { r.sendOthers(faults, o.Seed) })
+	if o.Series {
+		group.Go(func() { r.playSeries(faults, o.Seed) })
+	}
 	r.Play(faults)
 	endFaults()
 	r.report("all disturbances end")
--- a/span/join.go
+++ b/span/join.go
@@ -3,8 +3,9 @@
 import "slices"
 
 // maxRangesPerOwner is the number of ranges of an owner above which some are
-// joined. The reply to a target's heartbeat lists them with up to 45 bytes each,
-// and replies above 4 KiB are rejected.
+// joined. The reply to a target's heartbeat lists them with up to 50 bytes each,
+// as epochs have up to 16 digits after restores of the store, and replies above
+// 4 KiB are rejected.
 const maxRangesPerOwner = 40
 
 // Join limits the number of ranges per owner, which grows with each move of busy
