fleet, store: a store that names no era is in its first one

Callers: none seen. If a store names its eras from its first restore on only, nodes took that restore for the first sight of an era: they kept revisions and leases of the time before, and nodes that started later took the ranges of the copy for present ones, so that epochs were issued a second time after one return and a kill of all nodes.

Cause: era 0 meant that the store knows none, and records without an era counted as present for a node that had seen no restore, as nodes of versions before eras write such records.

Change: a store that names no era is in its first one. A later era that appears is a restore for a node that has read records. Records and messages without an era are of the first one, unless a node of a version before eras takes part. Nodes of the version before see no difference until a restore.

--- a/emul/ledger.go
+++ b/emul/ledger.go
@@ -46,7 +46,7 @@
 }
 
 // Restore replaces the content, leases included, by that of some time ago and begins the
-// next era. Revisions are given out again.
+// next era. Revisions are given out again. A ledger that has named no era was in the first one.
 func (l *Ledger) Restore(back time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,7 +70,7 @@
 		}
 	}
 	l.oldest = l.rev
-	l.era++
+	l.era = max(l.era, store.FirstEra) + 1
 	l.wake()
 }
 
--- a/fleet/adopt.go
+++ b/fleet/adopt.go
@@ -92,6 +92,7 @@
 	}
 	f.applyRecords(items, fromList)
 	f.synced, f.eras.relisting = true, false
+	f.eras.listed.Store(true)
 }
 
 // applyRecord applies a record. It reports whether that is of a new node or of a new run
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -151,7 +151,7 @@
 			f.enterEra(c.Era, now)
 		}
 		r.Era, relisting = f.eras.now, f.eras.relisting
-		if c.Era != 0 && c.Era != f.eras.now {
+		if !f.presentEra(c.Era) {
 			c.After = 0
 		}
 		r.Rev, r.AgeMs = f.knownRev, f.freshness.ageMs(now)
--- a/fleet/epoch_test.go
+++ b/fleet/epoch_test.go
@@ -8,13 +8,14 @@
 
 	"burdocklift/rules"
 	"burdocklift/span"
+	"burdocklift/store"
 )
 
 // Guards against epochs of two eras that overlap, that a target can't represent exactly as a
 // floating point number, or that rise in a store that was never restored.
 func TestEpochsOfEras(t *testing.T) {
 	for era, want := range map[uint64]uint64{
-		0: 0, firstEra: 0, 2: 1<<32 - 1, 3: 2<<32 - 1, maxEpochEras + 1: maxEpochEras<<32 - 1, maxEpochEras + 2: maxEpochEras<<32 - 1, 1 << 62: maxEpochEras<<32 - 1,
+		0: 0, store.FirstEra: 0, 2: 1<<32 - 1, 3: 2<<32 - 1, maxEpochEras + 1: maxEpochEras<<32 - 1, maxEpochEras + 2: maxEpochEras<<32 - 1, 1 << 62: maxEpochEras<<32 - 1,
 	} {
 		if got := lastEpochBefore(era); got != want {
 			t.Errorf("last epoch before era %d is %d, want %d", era, got, want)
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"burdocklift/span"
@@ -37,19 +38,20 @@
 // given one. Epochs above it were issued in no earlier era, also if nobody remembers what
 // these have issued.
 func lastEpochBefore(era uint64) uint64 {
-	if era <= firstEra {
+	if era <= store.FirstEra {
 		return 0
 	}
-	return min(era-firstEra, maxEpochEras)*epochsPerEra - 1
+	return min(era-store.FirstEra, maxEpochEras)*epochsPerEra - 1
 }
 
 // eras is what a node knows of restores of the store from older copies. Each begins an
-// era. It is owned by the loop, except for known.
+// era. It is owned by the loop, except for listed.
 type eras struct {
 	now uint64 // present era, 0 if the store names none
-	// restored is true if an era began while this node ran. Records that name no era,
-	// which nodes of earlier versions write, count as of the present one otherwise.
-	restored  bool
+	// restored is true if an era began while this node ran.
+	restored bool
+	// listed is true once this node has read the records. It is read by any goroutine.
+	listed    atomic.Bool
 	since     time.Duration // when this node learned of the present era
 	relisting bool          // the records of the present era are not listed yet
 	// keepsVanished is true until records of operators that are missing since then are dropped.
@@ -68,9 +70,29 @@
 	recordedAt map[string]time.Duration
 }
 
-// presentEra reports whether a record was written in the present era.
+// presentEra reports whether a record or a message is of the present era. One that names none
+// is of the first era, as long as the store named none, or of a node of a version that does
+// not know eras. Such nodes are trusted until the store is restored.
 func (f *Fleet) presentEra(era uint64) bool {
-	return era == f.eras.now || era == 0 && !f.eras.restored
+	if era != 0 || f.eras.now <= store.FirstEra {
+		return era == f.eras.now || era == 0
+	}
+	return !f.eras.restored && f.knowsEarlierNodes()
+}
+
+// knowsEarlierNodes reports whether nodes of a version that does not know eras take part.
+func (f *Fleet) knowsEarlierNodes() bool {
+	for name, version := range f.replyVersions {
+		if _, ok := f.members[name]; ok && version < gatherVersion {
+			return true
+		}
+	}
+	for _, version := range f.versions {
+		if version > 0 && version < gatherVersion { // 0 is also that of a probe
+			return true
+		}
+	}
+	return false
 }
 
 // enterEra takes over an era that the store or another node has shown, and reports
@@ -81,16 +103,18 @@
 		return era == f.eras.now
 	}
 	earlier := f.eras.now
+	// A node that knows no records yet learns the era of those that it is about to read.
+	restored := store.Restored(earlier, era) && (earlier != 0 || f.synced || len(f.items) > 0)
 	f.eras.since = now
 	for service, m := range f.ranges {
-		if f.presentEra(m.Era) && earlier != 0 {
+		if restored && f.presentEra(m.Era) {
 			f.eras.kept[service] = now < f.grantRight.validUntil
 		}
 	}
 	f.eras.now = era
 	f.knownEra.Store(era)
-	if earlier == 0 {
-		return true // the first era that this node sees
+	if !restored {
+		return true
 	}
 	f.eras.restored, f.eras.relisting, f.eras.keepsVanished = true, true, true
 	f.knownRev = 0
@@ -116,7 +140,7 @@
 	case f.roleChanged <- struct{}{}:
 	default:
 	}
-	eventStoreRestored.Log(context.Background(), f.cfg.Log, slog.Uint64("era", era-1), slog.Uint64("earlier", earlier-1),
+	eventStoreRestored.Log(context.Background(), f.cfg.Log, slog.Uint64("era", era-1), slog.Uint64("earlier", max(earlier, store.FirstEra)-1),
 		slog.Int("services_kept", len(f.eras.kept)))
 	f.publish()
 	return true
@@ -238,7 +262,7 @@
 		// An error means that the loop has ended.
 		_ = f.query(ctx, func(now time.Duration) { f.enterEra(era, now) })
 	}
-	if before != 0 && before != era && (err == nil || !errors.Is(err, store.ErrUncertain)) {
+	if store.Restored(before, era) && (before != 0 || f.eras.listed.Load()) && (err == nil || !errors.Is(err, store.ErrUncertain)) {
 		return era, errEraUnknown
 	}
 	return era, err
--- a/fleet/era_test.go
+++ b/fleet/era_test.go
@@ -17,11 +17,18 @@
 
 // onSiteInEra is onSite with a store that names eras.
 func onSiteInEra(t *testing.T, test func(w *site)) {
+	t.Helper()
+	onSiteFromEra(t, 1, test)
+}
+
+// onSiteFromEra is onSiteInEra with another first era, 0 for a store that names its eras from
+// its first restore on only.
+func onSiteFromEra(t *testing.T, era uint64, test func(w *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		w := newSiteInEra(ctx, t, hosts, slog.DiscardHandler, 1)
+		w := newSiteInEra(ctx, t, hosts, slog.DiscardHandler, era)
 		defer w.stop()
 		time.Sleep(10 * time.Second)
 		assertAllHeld(t, w)
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -167,7 +167,7 @@
 	var items []store.Item
 	var next uint64
 	era, err := f.inEra(ctx, func() (err error) { items, next, err = f.cfg.Store.Changes(callCtx, "", after, wait); return err })
-	if err == nil && known != 0 && era != known {
+	if err == nil && store.Restored(known, era) {
 		err = errEraUnknown // the revision is of an earlier era
 	}
 	if err != nil {
--- a/fleet/gather.go
+++ b/fleet/gather.go
@@ -30,8 +30,6 @@
 	maxGatherCalls = 64
 	// gatherVersion is the protocolVersion from which on nodes know MethodGather.
 	gatherVersion = 2
-	// firstEra is that of a store that was never restored.
-	firstEra = 1
 )
 
 // rangesMark orders the ranges of a service over all eras.
@@ -100,7 +98,7 @@
 // of it are known: no node knows any, or the store was never restored.
 func (f *Fleet) mayCreateRanges(service string) bool {
 	_, known := f.ranges[service]
-	return f.planner.leads.Load() && (f.planner.gather.created[service] || f.eras.now == firstEra && !known)
+	return f.planner.leads.Load() && (f.planner.gather.created[service] || f.eras.now == store.FirstEra && !known)
 }
 
 // knownMarks returns the newest ranges of earlier eras that this node knows.
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -125,9 +125,9 @@
 }
 
 // notePeerRev records the revision up to which a node knows all records. It returns false
-// if that is not of the present era. A node that names none is of an earlier version.
+// if that is not of the present era.
 func (f *Fleet) notePeerRev(name string, rev, era uint64, now time.Duration) bool {
-	if era != 0 && !f.enterEra(era, now) {
+	if era != 0 && !f.enterEra(era, now) || era == 0 && !f.presentEra(era) {
 		f.peerRevs[name] = 0
 		return false
 	}
@@ -136,11 +136,10 @@
 }
 
 // enterPeerEra takes over the era of records from another node, and reports whether they
-// may be used. Those of nodes of earlier versions name none, and may be of any after a
-// restore.
+// may be used.
 func (f *Fleet) enterPeerEra(era uint64, now time.Duration) bool {
 	if era == 0 {
-		return !f.eras.restored
+		return f.presentEra(era)
 	}
 	return f.enterEra(era, now)
 }
--- a/fleet/series_test.go
+++ b/fleet/series_test.go
@@ -65,26 +65,32 @@
 // time to before the last return, and nobody remembers what came after it: all nodes are
 // killed before, between or after the returns.
 func TestEpochsRiseOverSeriesOfRestores(t *testing.T) {
-	for kills := range 8 {
-		for returns := 1; returns <= 3; returns++ {
-			t.Run(fmt.Sprintf("kills %03b, %d returns", kills, returns), func(t *testing.T) {
-				onSiteInEra(t, func(w *site) {
-					playSeries(w, returns, kills&1 != 0, kills&2 != 0, kills&4 != 0)
-					time.Sleep(restoreHeldWithin)
-					assertAllHeld(t, w)
+	for _, era := range firstEras {
+		for kills := range 8 {
+			for returns := 1; returns <= 3; returns++ {
+				t.Run(fmt.Sprintf("from era %d, kills %03b, %d returns", era, kills, returns), func(t *testing.T) {
+					onSiteFromEra(t, era, func(w *site) {
+						playSeries(w, returns, kills&1 != 0, kills&2 != 0, kills&4 != 0)
+						time.Sleep(restoreHeldWithin)
+						assertAllHeld(t, w)
+					})
 				})
-			})
+			}
 		}
 	}
 }
 
+// firstEras are those in which the store begins: it names none before its first restore, names
+// them from the start, or was restored before the site began.
+var firstEras = []uint64{0, 1, 7}
+
 // Guards against epochs that are given out again, and keys with two holders, when the store
 // goes back several times within seconds, all nodes are killed in between and heartbeats
 // arrive late.
 func TestRandomSeriesOfRestores(t *testing.T) {
 	for seed := uint64(1); seed <= randomSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			onSiteInEra(t, func(w *site) {
+			onSiteFromEra(t, firstEras[seed%3], func(w *site) {
 				r := rand.New(rand.NewPCG(seed, 3))
 				late := rand.New(rand.NewPCG(seed, 4)) // used under the lock of the site
 				w.mu.Lock()
--- a/fleet/write.go
+++ b/fleet/write.go
@@ -64,7 +64,7 @@
 	if reason == "" {
 		return
 	}
-	txn.Era = f.eras.now
+	txn.Era = max(f.eras.now, store.FirstEra)
 	f.writer.busy = true
 	go f.commit(ctx, txn, reason)
 }
@@ -127,7 +127,7 @@
 
 func (f *Fleet) finishWrite(ctx context.Context, now time.Duration, txn store.Txn, reason string, rev uint64, current []readItem, err error) {
 	f.writer.busy = false
-	if err == nil && txn.Era != f.eras.now && txn.Era != 0 {
+	if err == nil && txn.Outdated(f.eras.now) {
 		err = store.ErrRestored // its effect is lost
 	}
 	if err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -71,7 +71,7 @@
 	clock  clock.Clock
 	health store.Health  // of direct calls
 	era    atomic.Uint64 // latest one shown by a reply of another node
-	first  atomic.Uint64 // first one seen
+	first  atomic.Uint64 // one more than the first one seen, 0 before
 
 	mu        sync.Mutex
 	relays    func() []string // addresses of nodes that may be asked
@@ -105,8 +105,8 @@
 func (l *Ledger) answeredNow(era uint64) bool {
 	l.noteEra(era)
 	present := l.Era()
-	l.first.CompareAndSwap(0, present)
-	return era >= present || era == 0 && present == l.first.Load()
+	l.first.CompareAndSwap(0, present+1)
+	return era >= present || era == 0 && present+1 == l.first.Load()
 }
 
 // noteEra takes the era over that another node has seen.
@@ -267,7 +267,7 @@
 	default:
 		return r, fmt.Errorf("%w: unknown store operation %d", store.ErrUnavailable, req.Op)
 	}
-	l.first.CompareAndSwap(0, l.Era())
+	l.first.CompareAndSwap(0, l.Era()+1)
 	l.health.Record(err, l.clock.Elapsed())
 	return r, err
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -137,7 +137,11 @@
 		return nil, nil, err
 	}
 	check := NewChecker()
-	site, err := NewSite(o.Binary, o.Dir, o.Nodes, o.Seed, o.Plant, check)
+	era := uint64(1)
+	if o.Series {
+		era = o.Seed % 2 // from the first restore on only, or from the start
+	}
+	site, err := NewSite(o.Binary, o.Dir, o.Nodes, o.Seed, era, o.Plant, check)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/soak/site.go
+++ b/soak/site.go
@@ -106,13 +106,14 @@
 	stops bool // it was told to stop
 }
 
-// NewSite starts stand-ins and nodes.
-func NewSite(binary, dir string, nodes int, seed uint64, plant string, check *Checker) (*Site, error) {
+// NewSite starts stand-ins and nodes. The store names its eras from the given one on, or from
+// its first restore on if that is 0.
+func NewSite(binary, dir string, nodes int, seed, era uint64, plant string, check *Checker) (*Site, error) {
 	s := &Site{
 		binary: binary, dir: dir, check: check, ledger: emul.NewLedger(storeTime), version: 1, written: make(map[int]time.Time),
 		rng: rand.New(rand.NewPCG(seed, 1)),
 	}
-	s.ledger.SetEra(1) // the store names its eras
+	s.ledger.SetEra(era)
 	// Runs at the same time use other addresses.
 	number := os.Getpid()*8 + int(runs.Add(1))
 	net1, net2 := 16+number%100, 1+number/100%200
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,6 +39,7 @@
 	for name, o := range map[string]Options{
 		"faults":                                 {Seed: seed, Time: 12 * time.Second, Nodes: 5},
 		"store silent to some nodes, and limits": {Seed: 20261205, Time: 15 * time.Second, Nodes: 6},
+		"store goes back in series":              {Seed: 20261207, Time: 15 * time.Second, Nodes: 5, Series: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			o.Binary = binary
--- a/store/ledger.go
+++ b/store/ledger.go
@@ -18,6 +18,14 @@
 	ErrRestored = errors.New("store was restored from an older copy")
 )
 
+// FirstEra is the era of a store that was never restored. A store that names no era, 0, is in
+// its first one: it may name its eras from the first restore on only.
+const FirstEra = 1
+
+// Restored reports whether a store was restored between two moments, given the eras that it
+// named at them.
+func Restored(before, after uint64) bool { return max(before, FirstEra) < after }
+
 // Item is a record of a Ledger. Revisions rise over the whole store. They go back when
 // the store is restored from an older copy, which begins another era.
 type Item struct {
