--- a/fleet/local.go
+++ b/fleet/local.go
@@ -130,9 +130,9 @@
 	heardAt   time.Duration
 }
 
-// await keeps a heartbeat of a later incarnation. It reports whether that is the first one of
-// this incarnation.
-func (l *localTarget) await(hb Heartbeat, now time.Duration) bool {
+// keepSuccessor keeps a heartbeat of a later incarnation. It reports whether that is the first
+// one of this incarnation.
+func (l *localTarget) keepSuccessor(hb Heartbeat, now time.Duration) bool {
 	isFirst := l.successor.heartbeat.Incarnation != hb.Incarnation
 	if isFirst || hb.Sequence > l.successor.heartbeat.Sequence {
 		l.successor = successor{hb, now}
@@ -140,9 +140,9 @@
 	return isFirst
 }
 
-// awaited returns the incarnation that waits for the end of the present one, if it was heard
-// a short time ago.
-func (l *localTarget) awaited(now time.Duration) (successor, bool) {
+// recentSuccessor returns the incarnation that waits for the end of the present one, if it was
+// heard a short time ago.
+func (l *localTarget) recentSuccessor(now time.Duration) (successor, bool) {
 	s := l.successor
 	return s, s.heardAt > 0 && now-s.heardAt <= targetLostAfter
 }
--- a/fleet/target.go
+++ b/fleet/target.go
@@ -18,7 +18,7 @@
 			return
 		}
 		if present := f.local.heartbeat.Incarnation; hb.Incarnation != present && f.local.mayStillRun(now) {
-			if f.local.await(hb, now) {
+			if f.local.keepSuccessor(hb, now) {
 				eventTargetNotReplaced.Log(ctx, f.cfg.Log, slog.String("target", hb.Incarnation.Target), slog.Int64("born", hb.Incarnation.StartedAt),
 					slog.String("present", present.Target), slog.Int64("present_born", present.StartedAt))
 			}
@@ -55,7 +55,7 @@
 // replaceTarget lets the later incarnation that waits take the place of the present one once
 // that has ended. It reports whether there is such an incarnation.
 func (f *Fleet) replaceTarget(now time.Duration) bool {
-	s, ok := f.local.awaited(now)
+	s, ok := f.local.recentSuccessor(now)
 	if ok && !f.local.mayStillRun(now) {
 		f.applyHeartbeat(s.heartbeat, s.heardAt)
 		f.recordCold(now)
