soak: a target waits until its address is free

No promise of the nodes was at stake.

Cause: at that moment a node was started and the earlier target of another host closed its listener. A process that is being started holds copies of all descriptors and closes them one by one; its start counts as successful when the first ones are closed. The lock around starts does not cover the rest.

Change: the start of a target is tried again for up to 2 s while its address is in use; after that it is a broken START as before.

--- a/soak/site.go
+++ b/soak/site.go
@@ -352,6 +352,11 @@
 	m.Kill()
 }
 
+// releaseTime bounds the wait for the address of an earlier target. A process that is being
+// started holds copies of all descriptors, and closes them one by one after its start counts
+// as successful.
+const releaseTime = 2 * time.Second
+
 // StartTarget starts a new life of the target.
 func (m *Machine) StartTarget(plant string) error {
 	s := m.site
@@ -361,13 +366,18 @@
 	s.mu.Unlock()
 	s.forks.Lock()
 	defer s.forks.Unlock()
-	t, err := stand.Start(stand.Config{
+	cfg := stand.Config{
 		ID: id, StartedAt: time.Now(), Service: m.service, Slots: slots, Sharded: m.service == desk, Address: m.at(portTarget),
 		Node: m.at(portBeat), WorkTime: s.Work,
 		OnExecution:   func(t *stand.Target, e stand.Execution) { s.check.Began(t, e); s.left.Began(m, e); s.began(t, e) },
 		OnEnd:         func(t *stand.Target, e stand.Execution) { s.left.Ended(e); s.ended(t, e) },
 		OnHoldsChange: s.check.Held, Fault: plantTarget(plant),
-	})
+	}
+	t, err := stand.Start(cfg)
+	for end := time.Now().Add(releaseTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		time.Sleep(releaseTime / 100)
+		t, err = stand.Start(cfg)
+	}
 	if err != nil {
 		return err
 	}
