--- a/fleet/era.go
+++ b/fleet/era.go
@@ -23,8 +23,7 @@
 	// force. Operators write them again some seconds after a restore.
 	operatorGrace = 15 * time.Second
 	// epochsPerEra is the number of epochs that each era of the store has for itself. At most
-	// 50 writes a second with an epoch for each of 1,200 targets use them up in 20 hours; in
-	// operation a site moves its keys a few times a minute.
+	// 50 writes a second with an epoch for each of 1,200 targets use them up in 20 hours.
 	epochsPerEra = 1 << 32
 	// maxEpochEras bounds the eras with epochs of their own. Targets may read numbers as
 	// floating point numbers, which represent integers up to 2^53 exactly.
