--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -73,6 +73,7 @@
 	"impatient-poison": impatientPoison,
 	"keyed-poison":     keyedPoison,
 	"bystanders":       bystanders,
+	"spoiled-answers":  spoiledAnswers,
 }
 
 func main() {
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -24,8 +24,10 @@
 	portReady  = 7602
 	portBeat   = 7603
 	portTarget = 7604
-	portPeer   = 7610
-	portLast   = 7625
+	// portSpoiler is where the node finds its target if a spoiler stands between them.
+	portSpoiler = 7605
+	portPeer    = 7610
+	portLast    = 7625
 )
 
 const (
@@ -50,6 +52,7 @@
 	ledger   *emul.Ledger
 	store    *http.Server
 	machines []*machine
+	spoils   bool // a spoiler stands before the target that is added next
 
 	mu     sync.Mutex
 	number int // of targets that were started
@@ -63,6 +66,7 @@
 	region  string
 	ip      string
 	service string
+	door    int // port at which the node finds its target
 	// began is called when a request begins to run at the target.
 	began func(m *machine, e stand.Execution)
 	ended func(m *machine, e stand.Execution)
@@ -113,7 +117,10 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &machine{site: s, name: fmt.Sprintf("n-%02d", n), dc: dc, region: region, ip: ip, service: service, began: began, ended: ended}
+	m := &machine{site: s, name: fmt.Sprintf("n-%02d", n), dc: dc, region: region, ip: ip, service: service, door: portTarget, began: began, ended: ended}
+	if s.spoils {
+		m.door = portSpoiler
+	}
 	if err := m.writeSettings(); err != nil {
 		return nil, err
 	}
@@ -152,7 +159,7 @@
 "a" = "r"
 "b" = "r"
 "c" = "q"
-`, m.name, m.dc, m.region, m.site.address(0, portStore), m.service, m.at(portTarget), m.ip, m.at(portCaller),
+`, m.name, m.dc, m.region, m.site.address(0, portStore), m.service, m.at(m.door), m.ip, m.at(portCaller),
 		m.at(portReady), m.at(portBeat), portPeer, portLast, graceTime)
 	return os.WriteFile(m.settings(), []byte(text), 0o600)
 }
